Push back when the whole fleet is past the overload bound, instead of loading elsewhere

Mean of estimated jobs past 9 pushes back. Estimated jobs of workers that report no running count are our own times the number of schedulers.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -29,9 +29,8 @@
 const BOUND_LEAST: f64 = 4.0;
 /// And at this multiple of the mean of all: twice is far outside chance.
 const BOUND_RATIO: f64 = 2.0;
-/// Part of the start target that a worker at the overload bound may take; the rest is for chance.
-const BOUND_SHARE: f64 = 0.5;
-const BOUND_X: f64 = 13.0;
+/// Mean of estimated jobs past which the fleet as a whole is overloaded: several times a few cores' worth.
+const BOUND_ALL: f64 = 9.0;
 /// Patience: this multiple of what nearly all such executions take.
 const PATIENCE: f64 = 2.0;
 /// Share of executions that patience is measured on; above it lie the stragglers.
@@ -246,7 +245,6 @@
     effect: Effect,
     group: Group,
     window: Duration,
-    start_target: Duration,
     /// What executions took that found a copy, and those that had to load.
     quick: Histogram,
     slow: Histogram,
@@ -473,8 +471,8 @@
     executions: u32,
     /// The worker of the first execution that may have run, and when it was sent.
     may_have_run: Option<(usize, Duration)>,
-    /// Worker, cache status, estimated jobs and time of the execution that is out.
-    current: Option<(usize, Status, f64, Duration)>,
+    /// Worker, cache status and time of the execution that is out.
+    current: Option<(usize, Status, Duration)>,
     tried: Vec<usize>,
 }
 
@@ -482,8 +480,6 @@
     jobs: BTreeMap<JobId, Job>,
     kinds: Vec<Kind>,
     finished: Fading,
-    /// Time that warm executions took, jobs estimated at their worker when they were sent, their start targets.
-    pace: [Fading; 4],
     calling: Option<JobId>,
     waiting: usize,
     offers: Vec<Offer>,
@@ -499,15 +495,6 @@
         hash(&(self.seed, self.drawn))
     }
 
-    /// Estimated jobs at which a worker still answers well within the start target, by what was measured.
-    fn bound(&self, now: Duration) -> f64 {
-        let [took, held, target, count] = self.pace.map(|sum| sum.now(now));
-        if count < 1.0 {
-            return f64::INFINITY;
-        }
-        (BOUND_SHARE * (target / count) / (took / held)).max(1.0)
-    }
-
     fn kind(&mut self, job: &Job) -> &mut Kind {
         &mut self.kinds[job.workload]
     }
@@ -540,7 +527,6 @@
             effect: w.effect,
             group: w.group,
             window: w.window.unwrap_or_default(),
-            start_target: w.start_target.or(w.time_limit).unwrap_or(COME_BACK),
             quick: Histogram::default(),
             slow: Histogram::default(),
             quick_sum: 0.0,
@@ -564,7 +550,6 @@
             jobs: BTreeMap::new(),
             kinds: settings.workloads.iter().map(kind).collect(),
             finished: Fading::default(),
-            pace: [Fading::default(); 4],
             calling: None,
             waiting: 0,
             offers: Vec::new(),
@@ -684,7 +669,7 @@
     fn judge(&mut self, ending: &Ending, worker: usize, took: Duration, over: bool) {
         let now = self.now;
         let Some(job) = self.desk.jobs.get_mut(&ending.job) else { return };
-        let (_, status, held, sent) = job.current.take().unwrap_or((worker, Status::NotWarm, 0.0, now));
+        let (_, status, sent) = job.current.take().unwrap_or((worker, Status::NotWarm, now));
         match ending.outcome {
             Outcome::Finished => {
                 let kind = &mut self.desk.kinds[job.workload];
@@ -695,8 +680,6 @@
                 };
                 if warm {
                     kind.quick.add(took);
-                    let seen = [took.as_secs_f64(), held, kind.start_target.as_secs_f64(), 1.0];
-                    self.desk.pace.iter_mut().zip(seen).for_each(|(sum, add)| sum.add(add, now));
                     kind.quick_sum += took.as_secs_f64();
                     kind.quick_count += 1.0;
                     if kind.quick_count >= f64::from(HALVE_AT) {
@@ -803,7 +786,11 @@
             if blind { o.own as f64 * alike } else { o.others.unwrap_or(average) + o.own as f64 }
         };
         let mean = offers.iter().map(jobs).sum::<f64>() / offers.len() as f64;
-        let bound = BOUND_X.min((mean * BOUND_RATIO).max(BOUND_LEAST));
+        if mean > BOUND_ALL {
+            // Guards against load storms: a job sent to load where all are busy only makes them busier.
+            return self.conclude(id);
+        }
+        let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
         let unmarked = offers.iter().all(|o| o.status == Status::NotWarm);
         offers.retain(|o| jobs(o) < bound);
         if unmarked {
@@ -821,12 +808,12 @@
             a.0.cmp(&b.0).then(load).then(a.2.cmp(&b.2))
         });
         match ranked.first() {
-            Some(&(_, held, _, offer)) => self.execute(id, offer, held + 1.0),
+            Some(&(_, _, _, offer)) => self.execute(id, offer),
             None => self.conclude(id),
         }
     }
 
-    fn execute(&mut self, id: JobId, offer: Offer, held: f64) {
+    fn execute(&mut self, id: JobId, offer: Offer) {
         let now = self.now;
         let Some(job) = self.desk.jobs.get_mut(&id) else { return };
         let kind = &self.desk.kinds[job.workload];
@@ -844,7 +831,7 @@
             sent: now,
         };
         job.executions += 1;
-        job.current = Some((offer.worker, offer.status, held, now));
+        job.current = Some((offer.worker, offer.status, now));
         job.tried.push(offer.worker);
         self.post.put(Part::Worker(offer.worker), Note::Execute(execution));
         let worker: Rc<str> = self.worker_names.name(offer.worker);
