A cut connection is an error, not a restart: marks and warmth survive it

Symptom: from 0:05 to 0:45 two thirds of the jobs pushed back while servers were idle, some executions reset on 14 of 18 servers, no server listed as restarted. Cause: each reset cleared the worker's marks and put it under the cold budget. Told from restarts: resets came one at a time while other executions on the same worker went on and finished, and no connection was refused. Change: a reset counts as an error; only connections refused in a row count as down. It also holds against flaky links and proxies; it may harm for the moment between a crash and the first refused connection.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -47,6 +47,8 @@
 const ERRORS_ILL: f64 = 0.3;
 /// Recent executions that the error share is taken over.
 const ERRORS_OVER: f64 = 8.0;
+/// Connections refused in a row after which a worker counts as down; one may be a full connection table.
+const REFUSED_DOWN: u32 = 2;
 /// Share of the workers that may be set aside as ill: with more, the trouble is not a worker's own.
 const ILL_MOST: f64 = 0.4;
 /// A report older than this speaks for the worker no more: several refresh periods.
@@ -288,6 +290,8 @@
     shun: Duration,
     on_trial: bool,
     errors: f64,
+    /// Connections refused in a row.
+    refused: u32,
 }
 
 impl Worker {
@@ -305,6 +309,7 @@
             shun: SHUN_FIRST,
             on_trial: false,
             errors: 0.0,
+            refused: 0,
         }
     }
 
@@ -338,7 +343,7 @@
             self.cold_since = listing.started;
             self.cold_sent.clear();
             (self.shunned_until, self.shun, self.on_trial) = (Duration::ZERO, SHUN_FIRST, false);
-            self.errors = 0.0;
+            (self.errors, self.refused) = (0.0, 0);
         }
         self.listing = listing;
     }
@@ -428,12 +433,17 @@
                     mark.known = now + figures.keep;
                 }
                 self.heard = now;
+                if self.refused >= REFUSED_DOWN && self.cold_since.is_none() {
+                    self.cold_since = Some(now);
+                }
+                self.refused = 0;
                 self.errors *= 1.0 - 1.0 / ERRORS_OVER;
                 if self.errors < ERRORS_ILL {
                     (self.on_trial, self.shun) = (false, SHUN_FIRST);
                 }
             }
-            Outcome::Error => {
+            // One connection cut is no sign of a restart, which cuts them all and then refuses new ones.
+            Outcome::Error | Outcome::Reset => {
                 self.heard = now;
                 self.errors += (1.0 - self.errors) / ERRORS_OVER;
                 if self.errors > ERRORS_ILL || self.on_trial {
@@ -449,11 +459,13 @@
                     self.shun(now);
                 }
             }
-            Outcome::ConnectFailed | Outcome::Reset => {
-                // Down or restarted: what it held is gone, and it will be cold before the list says so.
-                self.marks.clear();
-                self.others = None;
-                self.cold_since = Some(now);
+            Outcome::ConnectFailed => {
+                // Guards against a process that is down: it comes back empty, and cold before the list says so.
+                self.refused += 1;
+                if self.refused >= REFUSED_DOWN {
+                    self.marks.clear();
+                    self.others = None;
+                }
                 if now >= self.shunned_until {
                     self.shun(now);
                 }
