Call executions off at silent workers, and time none out for being slow

Now a worker that has answered nothing since, with executions of several functions past their patience, is set aside and what may run again is called off there. It also holds against network cuts without resets; it may harm where a worker pauses longer than the patience.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -37,6 +37,10 @@
 const NEARLY_ALL: f64 = 0.95;
 /// Patience before anything was measured.
 const PATIENCE_BLIND: Duration = Duration::from_millis(1500);
+/// Times its patience after which a single execution that nothing followed speaks for its worker's silence.
+const SILENCE_ONE: u32 = 2;
+/// Workers are looked at for silence this often: short beside any patience.
+const TICK: Duration = Duration::from_millis(100);
 /// First span for which a worker that shows a symptom is left alone: a few executions.
 const SHUN_FIRST: Duration = Duration::from_millis(500);
 /// Longest such span: as long as a worker takes to restart.
@@ -80,6 +84,9 @@
     Execute(Execution),
     Ended(Ending),
     Place(JobId),
+    Tick,
+    /// This execution is out at a worker that answers nothing.
+    Silent(JobId, u32),
 }
 
 #[derive(Clone, Copy)]
@@ -235,6 +242,7 @@
     /// Work that a worker may be sent in a window, in multiples of what it can do in it.
     cold_budget: f64,
     max_executions: u32,
+    cancel: bool,
     schedulers: f64,
     retry_after: Option<Duration>,
     held_field: Option<usize>,
@@ -332,7 +340,8 @@
                 self.out.push(execution);
             }
             Note::Ended(ending) => self.ended(ending, now, figures),
-            Note::Offer(_) | Note::Decline | Note::Place(_) => {}
+            Note::Tick => self.silent(now, post),
+            Note::Offer(_) | Note::Decline | Note::Place(_) | Note::Silent(..) => {}
         }
     }
 
@@ -402,14 +411,25 @@
         if now < self.shunned_until {
             return true;
         }
-        let overdue = |out: &Execution| now.saturating_sub(out.sent.max(self.heard)) > out.patience;
-        if self.out.iter().filter(|out| overdue(out)).count() >= 2 {
-            self.shun(now);
-            return true;
-        }
         self.on_trial && (!self.out.is_empty() || !call.risks)
     }
 
+    /// Guards against workers that take jobs and answer none: with several functions overdue and no answer since,
+    /// it is not one long load, and what may run again is called off to be run elsewhere.
+    fn silent(&mut self, now: Duration, post: &mut Post) {
+        let overdue = |out: &&Execution| now.saturating_sub(out.sent.max(self.heard)) > out.patience;
+        let mut late = self.out.iter().filter(overdue);
+        let Some(first) = late.next() else { return };
+        if late.any(|out| out.function != first.function) || now - first.sent > first.patience * SILENCE_ONE {
+            if now >= self.shunned_until {
+                self.shun(now);
+            }
+            for out in &self.out {
+                post.put(Part::Desk, Note::Silent(out.job, out.execution));
+            }
+        }
+    }
+
     fn shun(&mut self, now: Duration) {
         self.shunned_until = now + self.shun;
         self.shun = (self.shun * 2).min(SHUN_LONGEST);
@@ -528,6 +548,7 @@
     post: Post,
     now: Duration,
     swept: Duration,
+    ticking: bool,
     actions: Vec<Action>,
 }
 
@@ -552,6 +573,7 @@
             fall_window: rules.fall_window.unwrap_or_default(),
             cold_budget: rules.fall_multiple.unwrap_or(1.0) * COLD_SAFETY,
             max_executions: settings.allowed.max_executions.unwrap_or(1),
+            cancel: settings.allowed.cancel,
             schedulers: f64::from(settings.schedulers.unwrap_or(1)),
             retry_after: settings.allowed.retry_after.then_some(retry_after),
             held_field: field(ReportField::Held),
@@ -579,6 +601,7 @@
             post: Post::default(),
             now: Duration::ZERO,
             swept: Duration::ZERO,
+            ticking: false,
             actions: Vec::new(),
         }
     }
@@ -605,11 +628,16 @@
             Event::Expired { job } => {
                 self.desk.jobs.remove(&job);
             }
-            Event::Streaming { .. }
-            | Event::Timer { .. }
-            | Event::Probed { .. }
-            | Event::Heard { .. }
-            | Event::Loaded { .. } => {}
+            Event::Timer { .. } => {
+                for ix in 0..self.workers.len() {
+                    self.post.put(Part::Worker(ix), Note::Tick);
+                }
+                self.ticking = !self.desk.jobs.is_empty();
+                if self.ticking {
+                    self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
+                }
+            }
+            Event::Streaming { .. } | Event::Probed { .. } | Event::Heard { .. } | Event::Loaded { .. } => {}
         }
         while let Some((part, note)) = self.post.next() {
             match part {
@@ -674,6 +702,10 @@
             tried: Vec::new(),
         };
         self.desk.jobs.insert(asked.job, job);
+        if !self.ticking {
+            self.ticking = true;
+            self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
+        }
         self.post.put(Part::Desk, Note::Place(asked.job));
     }
 
@@ -722,7 +754,8 @@
                 self.replied();
             }
             Note::Decline => self.replied(),
-            Note::Listed(_) | Note::Call(_) | Note::Execute(_) | Note::Ended(_) => {}
+            Note::Silent(job, execution) => self.call_off(job, execution),
+            Note::Listed(_) | Note::Call(_) | Note::Execute(_) | Note::Ended(_) | Note::Tick => {}
         }
     }
 
@@ -833,7 +866,8 @@
         let left = job.give_up.saturating_sub(now);
         let again = kind.effect == Effect::Restartable && job.executions + 1 < self.figures.max_executions;
         let typical = kind.quick.quantile(0.5).unwrap_or(USELESS);
-        let time_limit = (again && left > patience + typical).then_some(patience);
+        let limited = again && !self.figures.cancel && left > patience + typical;
+        let time_limit = limited.then_some(patience);
         let execution = Execution {
             job: id,
             execution: job.executions,
@@ -850,6 +884,15 @@
         self.actions.push(Action::Execute { job: id, worker, time_limit });
     }
 
+    fn call_off(&mut self, id: JobId, execution: u32) {
+        let Some(job) = self.desk.jobs.get(&id) else { return };
+        let again = self.desk.kinds[job.workload].effect == Effect::Restartable
+            && job.executions < self.figures.max_executions;
+        if again && self.figures.cancel && job.current.is_some() && execution + 1 == job.executions {
+            self.actions.push(Action::Cancel { job: id, execution });
+        }
+    }
+
     /// The final answer, at once: pushed back where trying again is harmless, killed elsewhere.
     fn conclude(&mut self, id: JobId) {
         let Some(job) = self.desk.jobs.remove(&id) else { return };
