--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -6,67 +6,43 @@
 //! inboxes; one loop empties them all before the next event. A job is a call for offers to every worker: set
 //! aside those past the overload bound, rank the rest by cache status, then by fewest estimated jobs.
 use crate::interface::*;
+use crate::measure::{Fading, Histogram};
 use crate::names::Names;
+use crate::post::Post;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::rc::Rc;
 use std::time::Duration;
 
-/// Edge of a histogram's first bin: shorter than any execution worth telling apart.
-const FIRST_BIN: Duration = Duration::from_millis(4);
-/// Ratio of one bin's edge to the next: coarse, yet finer than the spread between workloads.
-const BIN_RATIO: f64 = 1.4;
-/// Bins: the last begins past 20 s, longer than any time limit.
-const BINS: usize = 26;
-/// Counts at which a histogram is halved: some seconds of one scheduler's traffic.
-const HALVE_AT: u32 = 200;
-/// Counts below which a histogram says nothing.
-const ENOUGH: u32 = 8;
-/// Time in which finished work loses half its say in the mean rate: several executions long.
-const RATE_HALF: Duration = Duration::from_secs(4);
-/// A worker is past the overload bound at this many estimated jobs at the least: a few cores' worth.
-const BOUND_LEAST: f64 = 4.0;
-/// And at this multiple of the mean of all: twice is far outside chance.
-const BOUND_RATIO: f64 = 2.0;
-/// Mean of estimated jobs past which the fleet as a whole is overloaded: several times a few cores' worth.
-const BOUND_ALL: f64 = 9.0;
-/// Patience: this multiple of what nearly all such executions take.
-const PATIENCE: f64 = 2.0;
-/// Share of executions that patience is measured on; above it lie the stragglers.
-const NEARLY_ALL: f64 = 0.95;
-/// Patience before anything was measured.
-const PATIENCE_BLIND: Duration = Duration::from_millis(1500);
-/// Times its patience after which a single execution that nothing followed speaks for its worker's silence.
-const SILENCE_ONE: u32 = 2;
-/// Workers are looked at for silence this often: short beside any patience.
-const TICK: Duration = Duration::from_millis(100);
-/// First span for which a worker that shows a symptom is left alone: a few executions.
-const SHUN_FIRST: Duration = Duration::from_millis(500);
-/// Longest such span: as long as a worker takes to restart.
-const SHUN_LONGEST: Duration = Duration::from_secs(4);
-/// Span for which a full worker is left alone: a few of its jobs end meanwhile.
-const SHUN_FULL: Duration = Duration::from_millis(150);
-/// Share of recent executions ending in error past which a worker is ill; chance errors are far rarer.
-const ERRORS_ILL: f64 = 0.3;
-/// Recent executions that the error share is taken over.
-const ERRORS_OVER: f64 = 8.0;
-/// Connections refused in a row after which a worker counts as down; one may be a full connection table.
-const REFUSED_DOWN: u32 = 2;
-/// Share of the workers that may be set aside as ill: with more, the trouble is not a worker's own.
-const ILL_MOST: f64 = 0.4;
-/// A report older than this speaks for the worker no more: several refresh periods.
-const REPORT_AGED: Duration = Duration::from_secs(2);
-/// Share of the cold rule's budget that all schedulers together use, since work comes in lumps.
-const COLD_SAFETY: f64 = 0.6;
-/// Time left below which another execution is of no use: shorter than almost any work.
-const USELESS: Duration = Duration::from_millis(30);
-/// Time to come back before anything was measured.
-const COME_BACK: Duration = Duration::from_millis(200);
-/// Told keep-alive missing: copies are taken to stay this long.
-const KEEP_UNTOLD: Duration = Duration::from_secs(8);
-/// Marks and names are swept this often: long beside a keep-alive, short beside the memory at hand.
-const SWEEP: Duration = Duration::from_secs(60);
+// Constants, each with its unit and the reason for its size.
+const FIRST_BIN: Duration = Duration::from_millis(4); // first bin's edge: no execution is shorter
+const BIN_RATIO: f64 = 1.4; // of one bin's edge to the next: finer than the spread between workloads
+const BINS: usize = 26; // the last begins past 20 s, longer than any time limit
+const HALVE_AT: u32 = 200; // counts: some seconds of one scheduler's traffic
+const ENOUGH: u32 = 8; // counts below which a histogram says nothing
+const RATE_HALF: Duration = Duration::from_secs(4); // in which the mean rate forgets half: many executions
+const BOUND_LEAST: f64 = 4.0; // estimated jobs, the overload bound's least: a few cores' worth
+const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
+const BOUND_ALL: f64 = 9.0; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
+const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
+const NEARLY_ALL: f64 = 0.95; // share of executions that patience is measured on
+const PATIENCE_BLIND: Duration = Duration::from_millis(1500); // before anything was measured: a long load
+const SILENCE_ONE: u32 = 2; // times its patience: a single execution that speaks for its worker's silence
+const TICK: Duration = Duration::from_millis(100); // between looks for silence: short beside any patience
+const SHUN_FIRST: Duration = Duration::from_millis(500); // first time apart after a symptom: a few executions
+const SHUN_LONGEST: Duration = Duration::from_secs(4); // longest time apart: as long as a restart takes
+const SHUN_FULL: Duration = Duration::from_millis(150); // apart after a full answer: a few jobs end meanwhile
+const ERRORS_ILL: f64 = 0.3; // share of recent executions in error: chance errors are far rarer
+const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
+const REFUSED_DOWN: u32 = 2; // connections refused in a row: one may be a full connection table
+const ILL_MOST: f64 = 0.4; // share of workers set aside as ill: with more, the trouble is not a worker's own
+const REPORT_AGED: Duration = Duration::from_secs(2); // age of a report that is dropped: several refreshes
+const COLD_SAFETY: f64 = 0.6; // share of the cold rule's budget that is used, since work comes in lumps
+const USELESS: Duration = Duration::from_millis(30); // time left of no use: below almost any work
+const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
+const KEEP_UNTOLD: Duration = Duration::from_secs(8); // keep-alive where none is told: a short one
+const SWEEP: Duration = Duration::from_secs(60); // between sweeps of old marks and names: many keep-alives
+const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Status {
@@ -79,8 +55,8 @@
 enum Note {
     Listed(Listing),
     Call(Call),
-    Offer(Offer),
-    Decline,
+    /// `None`: the worker declines.
+    Offer(Option<Offer>),
     Execute(Execution),
     Ended(Ending),
     Place(JobId),
@@ -89,7 +65,7 @@
     Silent(JobId, u32),
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Listing {
     state: State,
     zone: u32,
@@ -97,6 +73,16 @@
     started: Option<Duration>,
 }
 
+impl Listing {
+    fn place(&self, group: Group) -> u32 {
+        match group {
+            Group::All => 0,
+            Group::Zone => self.zone,
+            Group::Cell => self.cell,
+        }
+    }
+}
+
 /// A call for offers for one job.
 #[derive(Clone, Copy)]
 struct Call {
@@ -134,106 +120,16 @@
     execution: u32,
     outcome: Outcome,
     found: Found,
-    report: Report,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Report {
+    /// Jobs that the worker reported to hold.
     held: Option<f64>,
-    queued: Option<f64>,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Part {
-    Desk,
-    Worker(usize),
-}
-
-/// The inboxes, and whose turn it is: each note put in is one turn, so notes are worked in order of arrival.
-#[derive(Default)]
-struct Post {
-    desk: VecDeque<Note>,
-    workers: Vec<VecDeque<Note>>,
-    turns: VecDeque<Part>,
-}
-
-impl Post {
-    fn put(&mut self, part: Part, note: Note) {
-        match part {
-            Part::Desk => self.desk.push_back(note),
-            Part::Worker(ix) => self.workers[ix].push_back(note),
-        }
-        self.turns.push_back(part);
-    }
-
-    fn next(&mut self) -> Option<(Part, Note)> {
-        let part = self.turns.pop_front()?;
-        let note = match part {
-            Part::Desk => self.desk.pop_front(),
-            Part::Worker(ix) => self.workers[ix].pop_front(),
-        };
-        note.map(|note| (part, note))
-    }
-}
-
-/// A histogram of times in few bins, halved from time to time.
-#[derive(Clone, Default)]
-struct Histogram {
-    bins: [u32; BINS],
-    count: u32,
-}
-
-impl Histogram {
-    fn add(&mut self, took: Duration) {
-        let ratio = took.as_secs_f64() / FIRST_BIN.as_secs_f64();
-        let bin = if ratio <= 1.0 { 0.0 } else { ratio.ln() / BIN_RATIO.ln() };
-        self.bins[(bin as usize).min(BINS - 1)] += 1;
-        self.count += 1;
-        if self.count >= HALVE_AT {
-            self.bins.iter_mut().for_each(|n| *n /= 2);
-            self.count = self.bins.iter().sum();
-        }
-    }
-
-    /// Upper edge of the bin that holds this share; `None` while too little was seen.
-    fn quantile(&self, share: f64) -> Option<Duration> {
-        if self.count < ENOUGH {
-            return None;
-        }
-        let mut rest = share * f64::from(self.count);
-        let bin = self.bins.iter().position(|&n| {
-            rest -= f64::from(n);
-            rest <= 0.0
-        });
-        let edge = BIN_RATIO.powi(bin.unwrap_or(BINS - 1) as i32 + 1);
-        Some(FIRST_BIN.mul_f64(edge))
-    }
 }
 
-/// A sum that loses half its say every `RATE_HALF`.
-#[derive(Clone, Copy, Default)]
-struct Fading {
-    sum: f64,
-    at: Duration,
-}
-
-impl Fading {
-    fn now(&self, now: Duration) -> f64 {
-        let halves = now.saturating_sub(self.at).as_secs_f64() / RATE_HALF.as_secs_f64();
-        self.sum * 0.5f64.powf(halves)
-    }
-
-    fn add(&mut self, amount: f64, now: Duration) {
-        *self = Fading { sum: self.now(now) + amount, at: now };
-    }
-
-    fn per_second(&self, now: Duration) -> f64 {
-        self.now(now) * std::f64::consts::LN_2 / RATE_HALF.as_secs_f64()
-    }
+fn histogram() -> Histogram {
+    Histogram::new(FIRST_BIN, BIN_RATIO, BINS, HALVE_AT)
 }
 
 /// The few derived figures that decisions use.
-#[derive(Clone)]
+#[derive(Default)]
 struct Figures {
     keep: Duration,
     cold_from: f64,
@@ -246,11 +142,9 @@
     schedulers: f64,
     retry_after: Option<Duration>,
     held_field: Option<usize>,
-    queued_field: Option<usize>,
     tells_warm: bool,
 }
 
-#[derive(Clone)]
 struct Kind {
     effect: Effect,
     group: Group,
@@ -258,23 +152,21 @@
     /// What executions took that found a copy, and those that had to load.
     quick: Histogram,
     slow: Histogram,
-    /// Sum and number of the quick ones: their mean weighs a job.
-    quick_sum: f64,
-    quick_count: f64,
 }
 
 impl Kind {
     fn weight(&self) -> f64 {
-        if self.quick_count > 0.0 { self.quick_sum / self.quick_count } else { 1.0 }
+        self.quick.mean().map_or(1.0, |mean| mean.as_secs_f64())
+    }
+
+    /// What a share of the executions take at most, those that loaded among them or not.
+    fn takes(&self, share: f64, loading: bool) -> Option<Duration> {
+        let of = |h: &Histogram| (h.count() >= ENOUGH).then(|| h.quantile(share));
+        if loading { of(&self.slow).max(of(&self.quick)) } else { of(&self.quick) }
     }
 
     fn patience(&self, status: Status) -> Duration {
-        let quick = self.quick.quantile(NEARLY_ALL);
-        let slow = self.slow.quantile(NEARLY_ALL);
-        let nearly = match status {
-            Status::Known | Status::Assumed => quick,
-            Status::NotWarm => slow.max(quick),
-        };
+        let nearly = self.takes(NEARLY_ALL, status == Status::NotWarm);
         nearly.map_or(PATIENCE_BLIND, |t| t.mul_f64(PATIENCE))
     }
 }
@@ -285,8 +177,10 @@
     assumed: Duration,
 }
 
+#[derive(Default)]
 struct Worker {
     ix: usize,
+    home: u64,
     listing: Listing,
     marks: BTreeMap<usize, Mark>,
     out: Vec<Execution>,
@@ -303,33 +197,16 @@
 }
 
 impl Worker {
-    fn new(ix: usize) -> Worker {
-        Worker {
-            ix,
-            listing: Listing { state: State::Gone, zone: 0, cell: 0, started: None },
-            marks: BTreeMap::new(),
-            out: Vec::new(),
-            others: None,
-            heard: Duration::ZERO,
-            cold_since: None,
-            cold_sent: VecDeque::new(),
-            shunned_until: Duration::ZERO,
-            shun: SHUN_FIRST,
-            on_trial: false,
-            errors: 0.0,
-            refused: 0,
-        }
+    fn new(ix: usize, home: u64) -> Worker {
+        Worker { ix, home, shun: SHUN_FIRST, ..Worker::default() }
     }
 
-    fn take(&mut self, note: Note, now: Duration, figures: &Figures, post: &mut Post) {
+    fn take(&mut self, note: Note, now: Duration, figures: &Figures, post: &mut Post<Note>) {
         match note {
             Note::Listed(listing) => self.listed(listing),
             Note::Call(call) => {
-                let answer = match self.offer(&call, now, figures) {
-                    Some(offer) => Note::Offer(offer),
-                    None => Note::Decline,
-                };
-                post.put(Part::Desk, answer);
+                let offer = self.offer(&call, now, figures);
+                post.put(DESK, Note::Offer(offer));
             }
             Note::Execute(execution) => {
                 let mark = self.marks.entry(execution.function).or_default();
@@ -341,7 +218,7 @@
             }
             Note::Ended(ending) => self.ended(ending, now, figures),
             Note::Tick => self.silent(now, post),
-            Note::Offer(_) | Note::Decline | Note::Place(_) | Note::Silent(..) => {}
+            Note::Offer(_) | Note::Place(_) | Note::Silent(..) => {}
         }
     }
 
@@ -361,15 +238,8 @@
         if self.listing.state != State::Up {
             return None;
         }
-        let here = |group: Group| match group {
-            Group::All => 0,
-            Group::Zone => self.listing.zone,
-            Group::Cell => self.listing.cell,
-        };
-        if call.confined.is_some_and(|(group, place)| here(group) != place) {
-            return None;
-        }
-        if !self.cold_room(call, now, figures) {
+        let strange = call.confined.is_some_and(|(group, place)| self.listing.place(group) != place);
+        if strange || !self.cold_room(call, now, figures) {
             return None;
         }
         let mark = self.marks.get(&call.function).copied().unwrap_or_default();
@@ -414,9 +284,9 @@
         self.on_trial && (!self.out.is_empty() || !call.risks)
     }
 
-    /// Guards against workers that take jobs and answer none: with several functions overdue and no answer since,
-    /// it is not one long load, and what may run again is called off to be run elsewhere.
-    fn silent(&mut self, now: Duration, post: &mut Post) {
+    /// Guards against workers that take jobs and answer none: with several functions overdue and no answer
+    /// since, it is not one long load, and what may run again is called off to be run elsewhere.
+    fn silent(&mut self, now: Duration, post: &mut Post<Note>) {
         let overdue = |out: &&Execution| now.saturating_sub(out.sent.max(self.heard)) > out.patience;
         let mut late = self.out.iter().filter(overdue);
         let Some(first) = late.next() else { return };
@@ -425,7 +295,7 @@
                 self.shun(now);
             }
             for out in &self.out {
-                post.put(Part::Desk, Note::Silent(out.job, out.execution));
+                post.put(DESK, Note::Silent(out.job, out.execution));
             }
         }
     }
@@ -440,10 +310,8 @@
         let own = self.out.len() as f64;
         let at = self.out.iter().position(|o| (o.job, o.execution) == (ending.job, ending.execution));
         let Some(execution) = at.map(|at| self.out.swap_remove(at)) else { return };
-        if let Some(held) = ending.report.held {
+        if let Some(held) = ending.held {
             self.others = Some(((held - own).max(0.0), now));
-        } else if let Some(queued) = ending.report.queued {
-            self.others = Some(((queued - own).max(0.0), now));
         }
         let mark = self.marks.entry(execution.function).or_default();
         match ending.outcome {
@@ -480,7 +348,7 @@
                 }
             }
             Outcome::ConnectFailed => {
-                // Guards against a process that is down: it comes back empty, and cold before the list says so.
+                // Guards against a process that is down: it comes back empty and cold before the list tells.
                 self.refused += 1;
                 if self.refused >= REFUSED_DOWN {
                     self.marks.clear();
@@ -508,30 +376,6 @@
     tried: Vec<usize>,
 }
 
-struct Desk {
-    jobs: BTreeMap<JobId, Job>,
-    kinds: Vec<Kind>,
-    finished: Fading,
-    calling: Option<JobId>,
-    waiting: usize,
-    offers: Vec<Offer>,
-    places: Vec<(u32, u32)>,
-    homes: Vec<u64>,
-    seed: u64,
-    drawn: u64,
-}
-
-impl Desk {
-    fn chance(&mut self) -> u64 {
-        self.drawn += 1;
-        hash(&(self.seed, self.drawn))
-    }
-
-    fn kind(&mut self, job: &Job) -> &mut Kind {
-        &mut self.kinds[job.workload]
-    }
-}
-
 fn hash(value: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     value.hash(&mut hasher);
@@ -539,13 +383,22 @@
 }
 
 /// One instance of the router's decisions.
+#[derive(Default)]
 pub struct Scheduler {
     figures: Figures,
-    desk: Desk,
+    kinds: Vec<Kind>,
+    jobs: BTreeMap<JobId, Job>,
+    /// The job that offers are called for, how many workers are still to reply, and what they offered.
+    calling: Option<JobId>,
+    waiting: usize,
+    offers: Vec<Offer>,
+    finished: Fading,
+    seed: u64,
+    drawn: u64,
     workers: Vec<Worker>,
     worker_names: Names,
     functions: Names,
-    post: Post,
+    post: Post<Note>,
     now: Duration,
     swept: Duration,
     ticking: bool,
@@ -560,10 +413,8 @@
             effect: w.effect,
             group: w.group,
             window: w.window.unwrap_or_default(),
-            quick: Histogram::default(),
-            slow: Histogram::default(),
-            quick_sum: 0.0,
-            quick_count: 0.0,
+            quick: histogram(),
+            slow: histogram(),
         };
         let retry_after = settings.allowed.max_retry_after.unwrap_or(COME_BACK);
         let figures = Figures {
@@ -576,34 +427,17 @@
             cancel: settings.allowed.cancel,
             schedulers: f64::from(settings.schedulers.unwrap_or(1)),
             retry_after: settings.allowed.retry_after.then_some(retry_after),
-            held_field: field(ReportField::Held),
-            queued_field: field(ReportField::Queued),
+            // Jobs waiting are the least that a worker holds.
+            held_field: field(ReportField::Held).or(field(ReportField::Queued)),
             tells_warm: copies.tells_warm,
         };
-        let desk = Desk {
-            jobs: BTreeMap::new(),
-            kinds: settings.workloads.iter().map(kind).collect(),
-            finished: Fading::default(),
-            calling: None,
-            waiting: 0,
-            offers: Vec::new(),
-            places: Vec::new(),
-            homes: Vec::new(),
-            seed,
-            drawn: 0,
-        };
-        Scheduler {
-            figures,
-            desk,
-            workers: Vec::new(),
-            worker_names: Names::default(),
-            functions: Names::default(),
-            post: Post::default(),
-            now: Duration::ZERO,
-            swept: Duration::ZERO,
-            ticking: false,
-            actions: Vec::new(),
-        }
+        let kinds = settings.workloads.iter().map(kind).collect();
+        Scheduler { figures, kinds, seed, ..Scheduler::default() }
+    }
+
+    fn chance(&mut self) -> u64 {
+        self.drawn += 1;
+        hash(&(self.seed, self.drawn))
     }
 
     /// Takes one event and returns what to do, in order.
@@ -615,24 +449,22 @@
             Event::Job(asked) => self.job(&asked),
             Event::Ended { job, execution, worker, outcome, took, over, found, crowd: _, report } => {
                 let worker = self.worker(worker);
-                let field = |at: Option<usize>| report.get(at?).copied().flatten();
-                let report =
-                    Report { held: field(self.figures.held_field), queued: field(self.figures.queued_field) };
-                let ending = Ending { job, execution, outcome, found, report };
+                let held = self.figures.held_field.and_then(|at| report.get(at).copied().flatten());
+                let ending = Ending { job, execution, outcome, found, held };
                 self.judge(&ending, worker, took, over);
-                self.post.put(Part::Worker(worker), Note::Ended(ending));
-                if !over && self.desk.jobs.contains_key(&job) {
-                    self.post.put(Part::Desk, Note::Place(job));
+                self.post.put(worker + 1, Note::Ended(ending));
+                if !over && self.jobs.contains_key(&job) {
+                    self.post.put(DESK, Note::Place(job));
                 }
             }
             Event::Expired { job } => {
-                self.desk.jobs.remove(&job);
+                self.jobs.remove(&job);
             }
             Event::Timer { .. } => {
                 for ix in 0..self.workers.len() {
-                    self.post.put(Part::Worker(ix), Note::Tick);
+                    self.post.put(ix + 1, Note::Tick);
                 }
-                self.ticking = !self.desk.jobs.is_empty();
+                self.ticking = !self.jobs.is_empty();
                 if self.ticking {
                     self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
                 }
@@ -640,9 +472,9 @@
             Event::Streaming { .. } | Event::Probed { .. } | Event::Heard { .. } | Event::Loaded { .. } => {}
         }
         while let Some((part, note)) = self.post.next() {
-            match part {
-                Part::Desk => self.desk_note(note),
-                Part::Worker(ix) => self.workers[ix].take(note, self.now, &self.figures, &mut self.post),
+            match part.checked_sub(1) {
+                None => self.desk_note(note),
+                Some(ix) => self.workers[ix].take(note, self.now, &self.figures, &mut self.post),
             }
         }
         std::mem::take(&mut self.actions)
@@ -662,12 +494,8 @@
     fn worker(&mut self, name: &str) -> usize {
         let ix = self.worker_names.index(name, self.now);
         while self.workers.len() <= ix {
-            self.workers.push(Worker::new(self.workers.len()));
-            self.post.workers.push(VecDeque::new());
-            self.desk.homes.push(0);
-            self.desk.places.push((0, 0));
+            self.workers.push(Worker::new(self.workers.len(), hash(&name)));
         }
-        self.desk.homes[ix] = hash(&name);
         ix
     }
 
@@ -675,20 +503,19 @@
         if matches!(form, ListForm::Full | ListForm::Saved) {
             for ix in 0..self.workers.len() {
                 let listing = Listing { state: State::Gone, ..self.workers[ix].listing };
-                self.post.put(Part::Worker(ix), Note::Listed(listing));
+                self.post.put(ix + 1, Note::Listed(listing));
             }
         }
         for entry in entries {
             let ix = self.worker(entry.worker);
             let &Entry { state, zone, cell, started, .. } = entry;
-            self.desk.places[ix] = (zone, cell);
-            self.post.put(Part::Worker(ix), Note::Listed(Listing { state, zone, cell, started }));
+            self.post.put(ix + 1, Note::Listed(Listing { state, zone, cell, started }));
         }
     }
 
     fn job(&mut self, asked: &JobAsked) {
         let workload = asked.workload as usize;
-        if workload >= self.desk.kinds.len() {
+        if workload >= self.kinds.len() {
             self.actions.push(Action::Kill { job: asked.job });
             return;
         }
@@ -701,40 +528,34 @@
             current: None,
             tried: Vec::new(),
         };
-        self.desk.jobs.insert(asked.job, job);
+        self.jobs.insert(asked.job, job);
         if !self.ticking {
             self.ticking = true;
             self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
         }
-        self.post.put(Part::Desk, Note::Place(asked.job));
+        self.post.put(DESK, Note::Place(asked.job));
     }
 
     /// What the end of an execution proves, and what is learned of its workload.
     fn judge(&mut self, ending: &Ending, worker: usize, took: Duration, over: bool) {
         let now = self.now;
-        let Some(job) = self.desk.jobs.get_mut(&ending.job) else { return };
+        let Some(job) = self.jobs.get_mut(&ending.job) else { return };
         let (_, status, sent) = job.current.take().unwrap_or((worker, Status::NotWarm, now));
         match ending.outcome {
             Outcome::Finished => {
-                let kind = &mut self.desk.kinds[job.workload];
+                let kind = &mut self.kinds[job.workload];
                 let warm = match ending.found {
                     Found::Warm => true,
                     Found::BeganLoad | Found::AwaitedLoad | Found::LoadFailed => false,
                     Found::Untold => status != Status::NotWarm,
                 };
                 if warm {
-                    kind.quick.add(took);
-                    kind.quick_sum += took.as_secs_f64();
-                    kind.quick_count += 1.0;
-                    if kind.quick_count >= f64::from(HALVE_AT) {
-                        kind.quick_sum /= 2.0;
-                        kind.quick_count /= 2.0;
-                    }
+                    kind.quick.add(took)
                 } else {
-                    kind.slow.add(took);
+                    kind.slow.add(took)
                 }
                 let weight = kind.weight();
-                self.desk.finished.add(weight, now);
+                self.finished.add(weight, now, RATE_HALF);
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
                 job.may_have_run.get_or_insert((worker, sent));
@@ -742,7 +563,7 @@
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => {}
         }
         if over {
-            self.desk.jobs.remove(&ending.job);
+            self.jobs.remove(&ending.job);
         }
     }
 
@@ -750,27 +571,22 @@
         match note {
             Note::Place(job) => self.place(job),
             Note::Offer(offer) => {
-                self.desk.offers.push(offer);
-                self.replied();
+                self.offers.extend(offer);
+                self.waiting -= 1;
+                if self.waiting == 0
+                    && let Some(job) = self.calling.take()
+                {
+                    self.choose(job);
+                }
             }
-            Note::Decline => self.replied(),
             Note::Silent(job, execution) => self.call_off(job, execution),
             Note::Listed(_) | Note::Call(_) | Note::Execute(_) | Note::Ended(_) | Note::Tick => {}
         }
     }
 
-    fn replied(&mut self) {
-        self.desk.waiting -= 1;
-        if self.desk.waiting == 0
-            && let Some(job) = self.desk.calling.take()
-        {
-            self.choose(job);
-        }
-    }
-
     fn place(&mut self, id: JobId) {
-        let Some(job) = self.desk.jobs.get(&id) else { return };
-        let kind = &self.desk.kinds[job.workload];
+        let Some(job) = self.jobs.get(&id) else { return };
+        let kind = &self.kinds[job.workload];
         let may_send = match (job.may_have_run, kind.effect) {
             (None, _) | (Some(_), Effect::Restartable) => true,
             (Some((_, sent)), Effect::Fingerprinted) => self.now < sent + kind.window,
@@ -780,13 +596,9 @@
         if !may_send || job.executions >= self.figures.max_executions || left < USELESS {
             return self.conclude(id);
         }
-        let confined = match (job.may_have_run, kind.effect, kind.group) {
-            (Some(_), Effect::Fingerprinted, Group::All) => None,
-            (Some((worker, _)), Effect::Fingerprinted, Group::Zone) => {
-                Some((Group::Zone, self.desk.places[worker].0))
-            }
-            (Some((worker, _)), Effect::Fingerprinted, Group::Cell) => {
-                Some((Group::Cell, self.desk.places[worker].1))
+        let confined = match (job.may_have_run, kind.effect) {
+            (Some((worker, _)), Effect::Fingerprinted) => {
+                Some((kind.group, self.workers[worker].listing.place(kind.group)))
             }
             _ => None,
         };
@@ -796,24 +608,24 @@
             confined,
             risks: kind.effect == Effect::Restartable && job.executions + 1 < self.figures.max_executions,
             weight: kind.weight(),
-            fair_rate: self.desk.finished.per_second(self.now) / listed as f64,
+            fair_rate: self.finished.per_second(self.now, RATE_HALF) / listed as f64,
         };
-        self.desk.offers.clear();
-        self.desk.calling = Some(id);
-        self.desk.waiting = self.workers.len();
+        self.offers.clear();
+        self.calling = Some(id);
+        self.waiting = self.workers.len();
         for ix in 0..self.workers.len() {
-            self.post.put(Part::Worker(ix), Note::Call(call));
+            self.post.put(ix + 1, Note::Call(call));
         }
         if self.workers.is_empty() {
-            self.desk.calling = None;
+            self.calling = None;
             self.conclude(id);
         }
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
     fn choose(&mut self, id: JobId) {
-        let mut offers = std::mem::take(&mut self.desk.offers);
-        let Some(job) = self.desk.jobs.get(&id) else { return };
+        let mut offers = std::mem::take(&mut self.offers);
+        let Some(job) = self.jobs.get(&id) else { return };
         let function = job.function;
         let ill = offers.iter().filter(|o| o.ill).count();
         if ill as f64 <= ILL_MOST * offers.len() as f64 {
@@ -841,13 +653,13 @@
         if unmarked {
             // No mark anywhere, as after our own restart: all schedulers try the workers in one common order.
             let name = self.functions.name(function);
-            let order = |o: &Offer| hash(&(&name, self.desk.homes[o.worker]));
-            if let Some(at) = (0..offers.len()).max_by_key(|&at| order(&offers[at])) {
-                offers[at].status = Status::Assumed;
+            let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
+            if let Some(home) = offers.iter_mut().max_by_key(|o| order(o)) {
+                home.status = Status::Assumed;
             }
         }
         let mut ranked: Vec<(Status, f64, u64, Offer)> =
-            offers.iter().map(|&o| (o.status, jobs(&o), self.desk.chance(), o)).collect();
+            offers.iter().map(|&o| (o.status, jobs(&o), self.chance(), o)).collect();
         ranked.sort_by(|a, b| {
             let load = a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal);
             a.0.cmp(&b.0).then(load).then(a.2.cmp(&b.2))
@@ -860,14 +672,13 @@
 
     fn execute(&mut self, id: JobId, offer: Offer) {
         let now = self.now;
-        let Some(job) = self.desk.jobs.get_mut(&id) else { return };
-        let kind = &self.desk.kinds[job.workload];
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let kind = &self.kinds[job.workload];
         let patience = kind.patience(offer.status);
         let left = job.give_up.saturating_sub(now);
         let again = kind.effect == Effect::Restartable && job.executions + 1 < self.figures.max_executions;
-        let typical = kind.quick.quantile(0.5).unwrap_or(USELESS);
+        let typical = kind.takes(0.5, false).unwrap_or(USELESS);
         let limited = again && !self.figures.cancel && left > patience + typical;
-        let time_limit = limited.then_some(patience);
         let execution = Execution {
             job: id,
             execution: job.executions,
@@ -879,14 +690,14 @@
         job.executions += 1;
         job.current = Some((offer.worker, offer.status, now));
         job.tried.push(offer.worker);
-        self.post.put(Part::Worker(offer.worker), Note::Execute(execution));
-        let worker: Rc<str> = self.worker_names.name(offer.worker);
-        self.actions.push(Action::Execute { job: id, worker, time_limit });
+        self.post.put(offer.worker + 1, Note::Execute(execution));
+        let worker = self.worker_names.name(offer.worker);
+        self.actions.push(Action::Execute { job: id, worker, time_limit: limited.then_some(patience) });
     }
 
     fn call_off(&mut self, id: JobId, execution: u32) {
-        let Some(job) = self.desk.jobs.get(&id) else { return };
-        let again = self.desk.kinds[job.workload].effect == Effect::Restartable
+        let Some(job) = self.jobs.get(&id) else { return };
+        let again = self.kinds[job.workload].effect == Effect::Restartable
             && job.executions < self.figures.max_executions;
         if again && self.figures.cancel && job.current.is_some() && execution + 1 == job.executions {
             self.actions.push(Action::Cancel { job: id, execution });
@@ -895,14 +706,14 @@
 
     /// The final answer, at once: pushed back where trying again is harmless, killed elsewhere.
     fn conclude(&mut self, id: JobId) {
-        let Some(job) = self.desk.jobs.remove(&id) else { return };
-        let kind = self.desk.kind(&job);
+        let Some(job) = self.jobs.remove(&id) else { return };
+        let kind = &self.kinds[job.workload];
         let harmless = match (job.may_have_run, kind.effect) {
             (None, _) | (Some(_), Effect::Restartable) => true,
             (Some(_), Effect::Fingerprinted) => kind.group == Group::All,
             (Some(_), Effect::RunOnce) => false,
         };
-        let come_back = kind.quick.quantile(0.5).unwrap_or(COME_BACK);
+        let come_back = kind.takes(0.5, false).unwrap_or(COME_BACK);
         let come_back = self.figures.retry_after.map(|most| come_back.min(most));
         self.actions.push(if harmless {
             Action::PushBack { job: id, come_back }
--- a/crates/quartzdrift-choice/src/lib.rs
+++ b/crates/quartzdrift-choice/src/lib.rs
@@ -18,4 +18,6 @@
 //! ```
 pub mod choice;
 pub mod interface;
+mod measure;
 mod names;
+mod post;
--- /dev/null
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -0,0 +1,75 @@
+//! Measurements that forget: a histogram of times in coarse bins and a sum that fades. How coarse and how
+//! fast is for the decision module to say.
+use std::time::Duration;
+
+/// Bins grow by a constant ratio from the first one's edge; counts are halved when they reach a limit.
+#[derive(Clone, Debug)]
+pub struct Histogram {
+    first: Duration,
+    ratio: f64,
+    halve_at: u32,
+    bins: Vec<u32>,
+    count: u32,
+    sum: Duration,
+}
+
+impl Histogram {
+    pub fn new(first: Duration, ratio: f64, bins: usize, halve_at: u32) -> Histogram {
+        Histogram { first, ratio, halve_at, bins: vec![0; bins.max(1)], count: 0, sum: Duration::ZERO }
+    }
+
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    pub fn add(&mut self, took: Duration) {
+        let past = took.as_secs_f64() / self.first.as_secs_f64();
+        let bin = if past <= 1.0 { 0.0 } else { past.ln() / self.ratio.ln() };
+        let last = self.bins.len() - 1;
+        self.bins[(bin as usize).min(last)] += 1;
+        self.count += 1;
+        self.sum += took;
+        if self.count >= self.halve_at {
+            self.bins.iter_mut().for_each(|n| *n /= 2);
+            let left: u32 = self.bins.iter().sum();
+            self.sum = self.sum * left / self.count;
+            self.count = left;
+        }
+    }
+
+    pub fn mean(&self) -> Option<Duration> {
+        self.sum.checked_div(self.count)
+    }
+
+    /// Upper edge of the bin that holds this share of the counts.
+    pub fn quantile(&self, share: f64) -> Duration {
+        let mut rest = share * f64::from(self.count);
+        let bin = self.bins.iter().position(|&n| {
+            rest -= f64::from(n);
+            rest <= 0.0
+        });
+        let bin = bin.unwrap_or(self.bins.len() - 1);
+        self.first.mul_f64(self.ratio.powi(bin as i32 + 1))
+    }
+}
+
+/// A sum that loses half its say in each span `half`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fading {
+    sum: f64,
+    at: Duration,
+}
+
+impl Fading {
+    pub fn now(&self, now: Duration, half: Duration) -> f64 {
+        self.sum * 0.5f64.powf(now.saturating_sub(self.at).as_secs_f64() / half.as_secs_f64())
+    }
+
+    pub fn add(&mut self, amount: f64, now: Duration, half: Duration) {
+        *self = Fading { sum: self.now(now, half) + amount, at: now };
+    }
+
+    pub fn per_second(&self, now: Duration, half: Duration) -> f64 {
+        self.now(now, half) * std::f64::consts::LN_2 / half.as_secs_f64()
+    }
+}
