Leave jobs that wait for a load out of the bound on the whole fleet

Symptom: half of all jobs pushed back while servers take few; loads at 14 to 16 for 100 jobs. Cause: jobs waiting for loads counted as work, so that pushing back let copies lapse and made more loads. Change: the bound is held against the part of jobs whose function stands. Bound set at 8. It may harm where loads themselves are what overloads a worker.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -23,7 +23,7 @@
 const RATE_HALF: Duration = Duration::from_secs(4); // in which the mean rate forgets half: many executions
 const BOUND_LEAST: f64 = 7.0; // estimated jobs, the overload bound's least: a few cores' worth
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
-const BOUND_ALL: f64 = 9.0; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
+const BOUND_ALL: f64 = 8.0; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
 const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
 const NEARLY_ALL: f64 = 0.95; // share of executions that patience is measured on
 const PATIENCE_BLIND: Duration = Duration::from_millis(1500); // before anything was measured: a long load
@@ -102,6 +102,8 @@
     status: Status,
     others: Option<f64>,
     own: usize,
+    /// Those of our own that wait for no load.
+    working: usize,
     ill: bool,
 }
 
@@ -173,6 +175,8 @@
 
 #[derive(Clone, Copy, Default)]
 struct Mark {
+    /// An answer came since the function was first sent here: its copy stands.
+    stands: bool,
     known: Duration,
     assumed: Duration,
 }
@@ -210,6 +214,7 @@
             }
             Note::Execute(execution) => {
                 let mark = self.marks.entry(execution.function).or_default();
+                mark.stands &= mark.known.max(mark.assumed) > now;
                 mark.assumed = now + figures.keep;
                 if self.cold_since.is_some() {
                     self.cold_sent.push_back((now, execution.weight));
@@ -252,7 +257,9 @@
         };
         let others = self.others.filter(|(_, at)| now - *at < REPORT_AGED).map(|(others, _)| others);
         let ill = self.ill(call, now);
-        Some(Offer { worker: self.ix, status, others, own: self.out.len(), ill })
+        let working =
+            self.out.iter().filter(|o| self.marks.get(&o.function).is_some_and(|m| m.stands)).count();
+        Some(Offer { worker: self.ix, status, others, own: self.out.len(), working, ill })
     }
 
     /// Guards against a cold worker pushed over by all schedulers at once: each sends it at most its own
@@ -317,6 +324,7 @@
         match ending.outcome {
             Outcome::Finished => {
                 mark.assumed = now + figures.keep;
+                mark.stands = true;
                 if figures.tells_warm {
                     mark.known = now + figures.keep;
                 }
@@ -643,7 +651,10 @@
             if blind { o.own as f64 * alike } else { o.others.unwrap_or(average) + o.own as f64 }
         };
         let mean = offers.iter().map(jobs).sum::<f64>() / offers.len() as f64;
-        if mean > BOUND_ALL {
+        let own: usize = offers.iter().map(|o| o.own).sum();
+        let working: usize = offers.iter().map(|o| o.working).sum();
+        let busy = mean * working as f64 / own.max(1) as f64;
+        if busy > BOUND_ALL {
             // Guards against load storms: a job sent to load where all are busy only makes them busier.
             return self.conclude(id);
         }
