--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -23,7 +23,7 @@
 const BOUND_LEAST: f64 = 7.0; // estimated jobs, the overload bound's least: a few cores' worth
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
 const BOUND_ALL: f64 = 8.0; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
-const STEP: f64 = 6.0; // estimated jobs that count as equal: reports are that late and noisy
+const STEP: f64 = 100.0; // estimated jobs that count as equal: reports are that late and noisy
 const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
 const NEARLY_ALL: f64 = 0.95; // share of executions that patience is measured on
 const PATIENCE_BLIND: Duration = Duration::from_millis(1500); // before anything was measured: a long load
@@ -652,7 +652,15 @@
             return self.conclude(id);
         }
         let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
+        let unmarked = offers.iter().all(|o| o.status == Status::NotWarm);
         offers.retain(|o| jobs(o) < bound);
+        if unmarked
+            && let Some(home) = offers
+                .iter_mut()
+                .max_by_key(|o| hash(&(&self.functions.name(function), self.workers[o.worker].home)))
+        {
+            home.status = Status::Assumed;
+        }
         // Equal steps of estimated jobs: all schedulers take the workers in one common order for each function, so
         // that its copies are few though none sees the marks of another.
         let name = self.functions.name(function);
