--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -9,6 +9,7 @@
 use crate::measure::{Fading, Histogram};
 use crate::names::Names;
 use crate::post::Post;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -23,7 +24,6 @@
 const BOUND_LEAST: f64 = 7.0; // estimated jobs, the overload bound's least: a few cores' worth
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
 const BOUND_ALL: f64 = 8.0; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
-const STEP: f64 = 100.0; // estimated jobs that count as equal: reports are that late and noisy
 const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
 const NEARLY_ALL: f64 = 0.95; // share of executions that patience is measured on
 const PATIENCE_BLIND: Duration = Duration::from_millis(1500); // before anything was measured: a long load
@@ -401,6 +401,8 @@
     waiting: usize,
     offers: Vec<Offer>,
     finished: Fading,
+    seed: u64,
+    drawn: u64,
     workers: Vec<Worker>,
     worker_names: Names,
     functions: Names,
@@ -438,7 +440,12 @@
             tells_warm: copies.tells_warm,
         };
         let kinds = settings.workloads.iter().map(kind).collect();
-        Scheduler { figures, kinds, ..Scheduler::default() }
+        Scheduler { figures, kinds, seed, ..Scheduler::default() }
+    }
+
+    fn chance(&mut self) -> u64 {
+        self.drawn += 1;
+        hash(&(self.seed, self.drawn))
     }
 
     /// Takes one event and returns what to do, in order.
@@ -654,20 +661,22 @@
         let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
         let unmarked = offers.iter().all(|o| o.status == Status::NotWarm);
         offers.retain(|o| jobs(o) < bound);
-        if unmarked
-            && let Some(home) = offers
-                .iter_mut()
-                .max_by_key(|o| hash(&(&self.functions.name(function), self.workers[o.worker].home)))
-        {
-            home.status = Status::Assumed;
-        }
-        // Equal steps of estimated jobs: all schedulers take the workers in one common order for each function, so
-        // that its copies are few though none sees the marks of another.
-        let name = self.functions.name(function);
-        let step = |o: &Offer| (jobs(o) / STEP) as u32;
-        let order = |o: &Offer| u64::MAX - hash(&(&name, self.workers[o.worker].home));
-        match offers.iter().min_by_key(|o| (o.status, step(o), order(o))).copied() {
-            Some(offer) => self.execute(id, offer),
+        if unmarked {
+            // No mark anywhere, as after our own restart: all schedulers try the workers in one common order.
+            let name = self.functions.name(function);
+            let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
+            if let Some(home) = offers.iter_mut().max_by_key(|o| order(o)) {
+                home.status = Status::Assumed;
+            }
+        }
+        let mut ranked: Vec<(Status, f64, u64, Offer)> =
+            offers.iter().map(|&o| (o.status, jobs(&o), self.chance(), o)).collect();
+        ranked.sort_by(|a, b| {
+            let load = a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal);
+            a.0.cmp(&b.0).then(load).then(a.2.cmp(&b.2))
+        });
+        match ranked.first() {
+            Some(&(_, _, _, offer)) => self.execute(id, offer),
             None => self.conclude(id),
         }
     }
