The home that all schedulers agree on always counts as warm

It may harm where the home is itself the trouble; the overload bound, health and the cold budget still set it aside first.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -659,15 +659,12 @@
             return self.conclude(id);
         }
         let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
-        let unmarked = offers.iter().all(|o| o.status == Status::NotWarm);
         offers.retain(|o| jobs(o) < bound);
-        if unmarked {
-            // No mark anywhere, as after our own restart: all schedulers try the workers in one common order.
-            let name = self.functions.name(function);
-            let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
-            if let Some(home) = offers.iter_mut().max_by_key(|o| order(o)) {
-                home.status = Status::Assumed;
-            }
+        // Each scheduler sees its own marks only; the home that all agree on counts as warm for every one of them.
+        let name = self.functions.name(function);
+        let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
+        if let Some(home) = offers.iter_mut().max_by_key(|o| order(o)) {
+            home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
         let mut ranked: Vec<(Status, f64, u64, Offer)> =
             offers.iter().map(|&o| (o.status, jobs(&o), self.chance(), o)).collect();
