--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -21,7 +21,7 @@
 const RATE_HALF: Duration = Duration::from_secs(4); // in which the mean rate forgets half: many executions
 const BOUND_LEAST: f64 = 7.0; // estimated jobs, the overload bound's least: a few cores' worth
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
-const BOUND_ALL: f64 = 8.0; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
+const BOUND_ALL: f64 = 6.5; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
 const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
 const NEARLY_ALL: f64 = 0.95; // share of executions that patience is measured on
 const PATIENCE_BLIND: Duration = Duration::from_millis(1500); // before anything was measured: a long load
@@ -35,9 +35,10 @@
 const REFUSED_DOWN: u32 = 2; // connections refused in a row: one may be a full connection table
 const ILL_MOST: f64 = 0.4; // share of workers set aside as ill: with more, the trouble is not a worker's own
 const REPORT_AGED: Duration = Duration::from_secs(2); // age of a report that is dropped: several refreshes
-const COLD_SAFETY: f64 = 0.6; // share of the cold rule's budget that is used, since work comes in lumps
+const COLD_SAFETY: f64 = 0.9; // share of the cold rule's budget that is used, since work comes in lumps
 const USELESS: Duration = Duration::from_millis(30); // time left of no use: below almost any work
 const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
+const COME_BACK_PART: f64 = 0.3; // of a usual execution: many run, one of them ends well before
 const KEEP_UNTOLD: Duration = Duration::from_secs(8); // keep-alive where none is told: a short one
 const SWEEP: Duration = Duration::from_secs(60); // between sweeps of old marks and names: many keep-alives
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
@@ -125,10 +126,6 @@
     held: Option<f64>,
 }
 
-fn histogram() -> Histogram {
-    Histogram::new(FIRST_BIN, BIN_RATIO, BINS, HALVE_AT)
-}
-
 /// The few derived figures that decisions use.
 #[derive(Default)]
 struct Figures {
@@ -414,12 +411,13 @@
     pub fn new(settings: &Settings, seed: u64) -> Scheduler {
         let (rules, copies) = (&settings.rules, &settings.copies);
         let field = |kind| settings.report_fields.iter().position(|&f| f == kind);
+        let histogram = Histogram::new(FIRST_BIN, BIN_RATIO, BINS, HALVE_AT);
         let kind = |w: &Workload| Kind {
             effect: w.effect,
             group: w.group,
             window: w.window.unwrap_or_default(),
-            quick: histogram(),
-            slow: histogram(),
+            quick: histogram.clone(),
+            slow: histogram.clone(),
         };
         let retry_after = settings.allowed.max_retry_after.unwrap_or(COME_BACK);
         let figures = Figures {
@@ -713,7 +711,7 @@
             (Some(_), Effect::Fingerprinted) => kind.group == Group::All,
             (Some(_), Effect::RunOnce) => false,
         };
-        let come_back = kind.takes(0.5, false).unwrap_or(COME_BACK);
+        let come_back = kind.takes(0.5, false).unwrap_or(COME_BACK).mul_f64(COME_BACK_PART);
         let come_back = self.figures.retry_after.map(|most| come_back.min(most));
         self.actions.push(if harmless {
             Action::PushBack { job: id, come_back }
