Health by workload; executions given up stay in the estimate; lists that must be asked for

Symptom: 1800 errors in 5 s, 16 in 100 executions, jobs of stock-check only. Cause: some servers failed one workload at once and served the others, so their error share came and went below the mark. Told from servers failing altogether: errors 60 to 80% of stock-check on 12 of 42 servers, none of the rest. Change: error share and time apart are kept by workload. It also holds for a bad release of one workload; it may harm where a worker dies slowly, workload by workload. Symptom: 16 executions a job, 91 in 100 full, clients asking 5 times. Cause: servers went on with work that clients had given up, which our estimate had dropped, so that full servers looked empty. Told from a low bound: one on all jobs held changed nothing. Change: executions timed out or called off count for their patience where no report tells what a worker holds. It may harm where workers drop given-up work: there it lasts two executions. Breaking each new guard made its scenario fail (tried one at a time).

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -28,7 +28,7 @@
 const SILENCE_ONE: u32 = 2; // times its patience: a single execution that speaks for its worker's silence
 const TICK: Duration = Duration::from_millis(100); // between looks for silence: short beside any patience
 const SHUN_FIRST: Duration = Duration::from_millis(500); // first time apart after a symptom: a few executions
-const SHUN_LONGEST: Duration = Duration::from_secs(4); // longest time apart: as long as a restart takes
+const SHUNS_MOST: u32 = 3; // doublings of it: then it is as long as a restart takes
 const SHUN_FULL: Duration = Duration::from_millis(150); // apart after a full answer: a few jobs end meanwhile
 const ERRORS_ILL: f64 = 0.3; // share of recent executions in error: chance errors are far rarer
 const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
@@ -40,6 +40,7 @@
 const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
 const COME_BACK_PART: f64 = 0.3; // of a usual execution: many run, one of them ends well before
 const KEEP_UNTOLD: Duration = Duration::from_secs(8); // keep-alive where none is told: a short one
+const ASK_AGAIN: Duration = Duration::from_secs(1); // after a call to the list failed: it is crowded
 const SWEEP: Duration = Duration::from_secs(60); // between sweeps of old marks and names: many keep-alives
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
 
@@ -73,21 +74,18 @@
 }
 
 impl Listing {
-    fn place(&self, group: Group) -> u32 {
-        match group {
-            Group::All => 0,
-            Group::Zone => self.zone,
-            Group::Cell => self.cell,
-        }
+    fn shares(&self, group: Group, other: &Listing) -> bool {
+        group == Group::All || self.zone == other.zone && (group == Group::Zone || self.cell == other.cell)
     }
 }
 
 /// A call for offers for one job.
 #[derive(Clone, Copy)]
 struct Call {
+    workload: usize,
     function: usize,
     /// Where executions that may have run confine further ones.
-    confined: Option<(Group, u32)>,
+    confined: Option<(Group, Listing)>,
     /// Restartable with executions left: may be risked on a worker of doubtful health.
     risks: bool,
     weight: f64,
@@ -111,6 +109,7 @@
 struct Execution {
     job: JobId,
     execution: u32,
+    workload: usize,
     function: usize,
     weight: f64,
     patience: Duration,
@@ -137,6 +136,7 @@
     cold_budget: f64,
     max_executions: u32,
     cancel: bool,
+    asks: bool,
     schedulers: f64,
     retry_after: Option<Duration>,
     held_field: Option<usize>,
@@ -165,9 +165,8 @@
 
     /// How long to wait for a sign of life; a load that others wait for too is given the time it takes.
     fn patience(&self, loading: bool) -> Duration {
-        let quick = self.takes(NEARLY_ALL, false).map_or(PATIENCE_BLIND, |t| t.mul_f64(PATIENCE));
-        let slow = self.takes(NEARLY_ALL, true).map_or(PATIENCE_BLIND, |t| t.mul_f64(PATIENCE));
-        if loading { quick.max(slow) } else { quick }
+        let of = |l| self.takes(NEARLY_ALL, l).map_or(PATIENCE_BLIND, |t| t.mul_f64(PATIENCE));
+        if loading { of(false).max(of(true)) } else { of(false) }
     }
 }
 
@@ -179,6 +178,25 @@
     assumed: Duration,
 }
 
+/// How a worker does with one workload.
+#[derive(Default)]
+struct Health {
+    shunned_until: Duration,
+    /// Times set aside in a row; after the first it is on trial.
+    shuns: u32,
+    /// Share of recent executions that ended in error.
+    errors: f64,
+}
+
+impl Health {
+    fn shun(&mut self, now: Duration) {
+        if now >= self.shunned_until {
+            self.shunned_until = now + (SHUN_FIRST * (1 << self.shuns.min(SHUNS_MOST)));
+            self.shuns += 1;
+        }
+    }
+}
+
 #[derive(Default)]
 struct Worker {
     ix: usize,
@@ -186,23 +204,20 @@
     listing: Listing,
     marks: BTreeMap<usize, Mark>,
     out: Vec<Execution>,
+    /// Executions given up that may still be worked on, until when.
+    ghosts: Vec<Duration>,
     others: Option<(f64, Duration)>,
     heard: Duration,
     cold_since: Option<Duration>,
     cold_sent: VecDeque<(Duration, f64)>,
-    shunned_until: Duration,
-    shun: Duration,
-    on_trial: bool,
-    errors: f64,
+    full_until: Duration,
+    /// By workload, since a worker may fail one kind of job only.
+    health: BTreeMap<usize, Health>,
     /// Connections refused in a row.
     refused: u32,
 }
 
 impl Worker {
-    fn new(ix: usize, home: u64) -> Worker {
-        Worker { ix, home, shun: SHUN_FIRST, ..Worker::default() }
-    }
-
     fn take(&mut self, note: Note, now: Duration, figures: &Figures, post: &mut Post<Note>) {
         match note {
             Note::Listed(listing) => self.listed(listing),
@@ -231,8 +246,8 @@
             self.marks.clear();
             self.cold_since = listing.started;
             self.cold_sent.clear();
-            (self.shunned_until, self.shun, self.on_trial) = (Duration::ZERO, SHUN_FIRST, false);
-            (self.errors, self.refused) = (0.0, 0);
+            self.health.clear();
+            self.refused = 0;
         }
         self.listing = listing;
     }
@@ -241,24 +256,32 @@
         if self.listing.state != State::Up {
             return None;
         }
-        let strange = call.confined.is_some_and(|(group, place)| self.listing.place(group) != place);
+        let strange = call.confined.is_some_and(|(group, ran)| !self.listing.shares(group, &ran));
         if strange || !self.cold_room(call, now, figures) {
             return None;
         }
         let mark = self.marks.get(&call.function).copied().unwrap_or_default();
-        let status = if mark.known > now {
-            Status::Known
-        } else if mark.assumed > now {
-            Status::Assumed
-        } else {
-            Status::NotWarm
+        let status = match (mark.known > now, mark.assumed > now) {
+            (true, _) => Status::Known,
+            (false, true) => Status::Assumed,
+            (false, false) => Status::NotWarm,
         };
         let stands = mark.stands && status != Status::NotWarm;
+        self.ghosts.retain(|&until| until > now);
+        let own = self.out.len() + self.ghosts.len();
         let others = self.others.filter(|(_, at)| now - *at < REPORT_AGED).map(|(others, _)| others);
         let ill = self.ill(call, now);
         let stood = |o: &&Execution| self.marks.get(&o.function).is_some_and(|m| m.stands);
         let working = self.out.iter().filter(stood).count();
-        Some(Offer { worker: self.ix, status, others, own: self.out.len(), working, stands, ill })
+        Some(Offer {
+            worker: self.ix,
+            status,
+            others,
+            own,
+            working: working + self.ghosts.len(),
+            stands,
+            ill,
+        })
     }
 
     /// Guards against a cold worker pushed over by all schedulers at once: each sends it at most its own
@@ -284,7 +307,9 @@
 
     /// Guards against workers that answer nothing, fail quickly or refuse: they look idle and draw jobs.
     fn ill(&mut self, call: &Call, now: Duration) -> bool {
-        now < self.shunned_until || self.on_trial && (!self.out.is_empty() || !call.risks)
+        let health = self.health.entry(call.workload).or_default();
+        let out = self.out.iter().any(|out| out.workload == call.workload);
+        now < health.shunned_until || now < self.full_until || health.shuns > 0 && (out || !call.risks)
     }
 
     /// Guards against workers that take jobs and answer none: with several functions overdue and no answer
@@ -294,21 +319,13 @@
         let mut late = self.out.iter().filter(overdue);
         let Some(first) = late.next() else { return };
         if late.any(|out| out.function != first.function) || now - first.sent > first.patience * SILENCE_ONE {
-            if now >= self.shunned_until {
-                self.shun(now);
-            }
+            self.health.values_mut().for_each(|health| health.shun(now));
             for out in &self.out {
                 post.put(DESK, Note::Silent(out.job, out.execution));
             }
         }
     }
 
-    fn shun(&mut self, now: Duration) {
-        self.shunned_until = now + self.shun;
-        self.shun = (self.shun * 2).min(SHUN_LONGEST);
-        self.on_trial = true;
-    }
-
     fn ended(&mut self, ending: Ending, now: Duration, figures: &Figures) {
         let own = self.out.len() as f64;
         let at = self.out.iter().position(|o| (o.job, o.execution) == (ending.job, ending.execution));
@@ -317,53 +334,49 @@
             self.others = Some(((held - own).max(0.0), now));
         }
         let mark = self.marks.entry(execution.function).or_default();
+        let health = self.health.entry(execution.workload).or_default();
         match ending.outcome {
             Outcome::Finished => {
                 mark.assumed = now + figures.keep;
                 mark.stands = true;
-                if figures.tells_warm {
-                    mark.known = now + figures.keep;
-                }
+                mark.known = if figures.tells_warm { now + figures.keep } else { mark.known };
                 self.heard = now;
                 if self.refused >= REFUSED_DOWN && self.cold_since.is_none() {
                     self.cold_since = Some(now);
                 }
                 self.refused = 0;
-                self.errors *= 1.0 - 1.0 / ERRORS_OVER;
-                if self.errors < ERRORS_ILL {
-                    (self.on_trial, self.shun) = (false, SHUN_FIRST);
+                health.errors *= 1.0 - 1.0 / ERRORS_OVER;
+                if health.errors < ERRORS_ILL {
+                    health.shuns = 0;
                 }
             }
             // One connection cut is no sign of a restart, which cuts them all and then refuses new ones.
             Outcome::Error | Outcome::Reset => {
                 self.heard = now;
-                self.errors += (1.0 - self.errors) / ERRORS_OVER;
-                if self.errors > ERRORS_ILL || self.on_trial {
-                    self.shun(now);
+                health.errors += (1.0 - health.errors) / ERRORS_OVER;
+                if health.errors > ERRORS_ILL || health.shuns > 0 {
+                    health.shun(now);
                 }
             }
             Outcome::Full => {
                 self.heard = now;
-                self.shunned_until = self.shunned_until.max(now + SHUN_FULL);
-            }
-            Outcome::TimedOut => {
-                if now.saturating_sub(self.heard.max(execution.sent)) >= execution.patience {
-                    self.shun(now);
-                }
+                self.full_until = now + SHUN_FULL;
             }
             Outcome::ConnectFailed => {
                 // Guards against a process that is down: it comes back empty and cold before the list tells.
                 self.refused += 1;
                 if self.refused >= REFUSED_DOWN {
                     self.marks.clear();
-                    self.others = None;
-                }
-                if now >= self.shunned_until {
-                    self.shun(now);
                 }
+                self.health.values_mut().for_each(|health| health.shun(now));
             }
             Outcome::Miss => *mark = Mark::default(),
-            Outcome::Cancelled | Outcome::Moot => {}
+            // Guards against estimates that fall when jobs are given up: a worker may go on unseen.
+            // Reports of what it holds would tell.
+            Outcome::Cancelled | Outcome::TimedOut if figures.held_field.is_none() => {
+                self.ghosts.push(now + execution.patience)
+            }
+            Outcome::Cancelled | Outcome::TimedOut | Outcome::Moot => {}
         }
     }
 }
@@ -376,14 +389,11 @@
     executions: u32,
     /// The worker of the first execution that may have run, and when it was sent.
     may_have_run: Option<(usize, Duration)>,
-    /// Worker, cache status and time of the execution that is out.
-    current: Option<(usize, Status, Duration)>,
+    /// Cache status and time of the execution that is out.
+    current: Option<(Status, Duration)>,
     tried: Vec<usize>,
 }
 
-/// An offer by its rank: cache status, estimated jobs, chance.
-type Ranked<'a> = (Status, f64, u64, &'a Offer);
-
 /// One instance of the router's decisions.
 #[derive(Default)]
 pub struct Scheduler {
@@ -403,13 +413,14 @@
     post: Post<Note>,
     now: Duration,
     swept: Duration,
-    ticking: bool,
+    /// When to subscribe to the list of workers, where it must be asked for.
+    watch_at: Option<Duration>,
     actions: Vec<Action>,
 }
 
 impl Scheduler {
     pub fn new(settings: &Settings, seed: u64) -> Scheduler {
-        let (rules, copies) = (&settings.rules, &settings.copies);
+        let (allowed, rules, copies) = (&settings.allowed, &settings.rules, &settings.copies);
         let field = |kind| settings.report_fields.iter().position(|&f| f == kind);
         let histogram = Histogram::new(FIRST_BIN, BIN_RATIO, BINS, HALVE_AT);
         let kind = |w: &Workload| Kind {
@@ -419,17 +430,17 @@
             quick: histogram.clone(),
             slow: histogram.clone(),
         };
-        let retry_after = settings.allowed.max_retry_after.unwrap_or(COME_BACK);
         let figures = Figures {
             keep: copies.keep.unwrap_or(KEEP_UNTOLD),
             cold_from: rules.cold_from.unwrap_or(1.0).clamp(0.0, 1.0),
             cold_for: rules.cold_for.unwrap_or_default(),
             fall_window: rules.fall_window.unwrap_or_default(),
             cold_budget: rules.fall_multiple.unwrap_or(1.0) * COLD_SAFETY,
-            max_executions: settings.allowed.max_executions.unwrap_or(1),
-            cancel: settings.allowed.cancel,
+            max_executions: allowed.max_executions.unwrap_or(1),
+            cancel: allowed.cancel,
+            asks: settings.discovery == Discovery::Ask,
             schedulers: f64::from(settings.schedulers.unwrap_or(1)),
-            retry_after: settings.allowed.retry_after.then_some(retry_after),
+            retry_after: allowed.retry_after.then_some(allowed.max_retry_after.unwrap_or(COME_BACK)),
             // Jobs waiting are the least that a worker holds.
             held_field: field(ReportField::Held).or(field(ReportField::Queued)),
             tells_warm: copies.tells_warm,
@@ -438,10 +449,6 @@
         Scheduler { figures, kinds, seed, ..Scheduler::default() }
     }
 
-    fn chance(&self, worker: usize) -> u64 {
-        hash(&(self.seed, self.drawn, worker))
-    }
-
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         self.now = self.now.max(now);
@@ -466,9 +473,10 @@
                 for ix in 0..self.workers.len() {
                     self.post.put(ix + 1, Note::Tick);
                 }
-                self.ticking = !self.jobs.is_empty();
-                if self.ticking {
-                    self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
+                self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
+                if self.watch_at.is_some_and(|at| at <= self.now) {
+                    self.watch_at = None;
+                    self.actions.push(Action::Watch { on: true });
                 }
             }
             Event::Streaming { .. } | Event::Probed { .. } | Event::Heard { .. } | Event::Loaded { .. } => {}
@@ -496,12 +504,18 @@
     fn worker(&mut self, name: &str) -> usize {
         let ix = self.worker_names.index(name, self.now);
         while self.workers.len() <= ix {
-            self.workers.push(Worker::new(self.workers.len(), hash(&name)));
+            self.workers.push(Worker { ix: self.workers.len(), home: hash(&name), ..Worker::default() });
         }
         ix
     }
 
     fn list(&mut self, form: ListForm, entries: &[Entry]) {
+        if form == ListForm::Saved {
+            self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
+            self.watch_at = self.figures.asks.then_some(self.now);
+        } else if form == ListForm::Failed && self.figures.asks {
+            self.watch_at = Some(self.now + ASK_AGAIN);
+        }
         if matches!(form, ListForm::Full | ListForm::Saved) {
             for ix in 0..self.workers.len() {
                 let listing = Listing { state: State::Gone, ..self.workers[ix].listing };
@@ -528,10 +542,6 @@
             ..Job::default()
         };
         self.jobs.insert(asked.job, job);
-        if !self.ticking {
-            self.ticking = true;
-            self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
-        }
         self.post.put(DESK, Note::Place(asked.job));
     }
 
@@ -539,7 +549,7 @@
     fn judge(&mut self, ending: &Ending, worker: usize, took: Duration, over: bool) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&ending.job) else { return };
-        let (_, status, sent) = job.current.take().unwrap_or((worker, Status::NotWarm, now));
+        let (status, sent) = job.current.take().unwrap_or((Status::NotWarm, now));
         match ending.outcome {
             Outcome::Finished => {
                 let kind = &mut self.kinds[job.workload];
@@ -583,23 +593,21 @@
     fn place(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let kind = &self.kinds[job.workload];
-        let may_send = match (job.may_have_run, kind.effect) {
-            (None, _) | (Some(_), Effect::Restartable) => true,
-            (Some((_, sent)), Effect::Fingerprinted) => self.now < sent + kind.window,
-            (Some(_), Effect::RunOnce) => false,
-        };
+        let may_send = job.may_have_run.is_none_or(|(_, sent)| match kind.effect {
+            Effect::Restartable => true,
+            Effect::Fingerprinted => self.now < sent + kind.window,
+            Effect::RunOnce => false,
+        });
         let left = job.give_up.saturating_sub(self.now);
-        if !may_send || job.executions >= self.figures.max_executions || left < USELESS {
+        let spent = job.executions >= self.figures.max_executions || left < USELESS;
+        if !may_send || spent || self.workers.is_empty() {
             return self.conclude(id);
         }
-        let confined = match (job.may_have_run, kind.effect) {
-            (Some((worker, _)), Effect::Fingerprinted) => {
-                Some((kind.group, self.workers[worker].listing.place(kind.group)))
-            }
-            _ => None,
-        };
+        let ran = job.may_have_run.filter(|_| kind.effect == Effect::Fingerprinted);
+        let confined = ran.map(|(worker, _)| (kind.group, self.workers[worker].listing));
         let listed = self.workers.iter().filter(|w| w.listing.state == State::Up).count().max(1);
         let call = Call {
+            workload: job.workload,
             function: job.function,
             confined,
             risks: self.may_go_on(job, 1),
@@ -612,10 +620,6 @@
         for ix in 0..self.workers.len() {
             self.post.put(ix + 1, Note::Call(call));
         }
-        if self.workers.is_empty() {
-            self.calling = None;
-            self.conclude(id);
-        }
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
@@ -628,9 +632,6 @@
             offers.retain(|o| !o.ill);
         }
         offers.retain(|o| !job.tried.contains(&o.worker));
-        if offers.is_empty() {
-            return self.conclude(id);
-        }
         let reported: Vec<f64> = offers.iter().filter_map(|o| o.others).collect();
         let average = reported.iter().sum::<f64>() / reported.len().max(1) as f64;
         let blind = reported.is_empty();
@@ -654,12 +655,12 @@
         if let Some(home) = offers.iter_mut().max_by_key(|o| order(o)) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
-        let ranked = offers.iter().map(|o| (o.status, jobs(o), self.chance(o.worker), o));
-        let by_rank = |a: &Ranked, b: &Ranked| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
-        let best = ranked.min_by(by_rank).map(|(_, _, _, &offer)| offer);
+        let chance = |o: &Offer| hash(&(self.seed, self.drawn, o.worker));
+        let ranked = offers.iter().map(|o| (o.status, jobs(o), chance(o), *o));
+        let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         self.drawn += 1;
         match best {
-            Some(offer) => self.execute(id, offer),
+            Some((_, _, _, offer)) => self.execute(id, offer),
             None => self.conclude(id),
         }
     }
@@ -680,6 +681,7 @@
         let execution = Execution {
             job: id,
             execution: job.executions,
+            workload: job.workload,
             function: job.function,
             weight: kind.weight(),
             patience,
@@ -687,7 +689,7 @@
         };
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.executions += 1;
-        job.current = Some((offer.worker, offer.status, now));
+        job.current = Some((offer.status, now));
         job.tried.push(offer.worker);
         self.post.put(offer.worker + 1, Note::Execute(execution));
         let worker = self.worker_names.name(offer.worker);
@@ -706,17 +708,12 @@
     fn conclude(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
         let kind = &self.kinds[job.workload];
-        let harmless = match (job.may_have_run, kind.effect) {
-            (None, _) | (Some(_), Effect::Restartable) => true,
-            (Some(_), Effect::Fingerprinted) => kind.group == Group::All,
-            (Some(_), Effect::RunOnce) => false,
-        };
+        let harmless = job.may_have_run.is_none()
+            || kind.effect == Effect::Restartable
+            || kind.effect == Effect::Fingerprinted && kind.group == Group::All;
         let come_back = kind.takes(0.5, false).unwrap_or(COME_BACK).mul_f64(COME_BACK_PART);
         let come_back = self.figures.retry_after.map(|most| come_back.min(most));
-        self.actions.push(if harmless {
-            Action::PushBack { job: id, come_back }
-        } else {
-            Action::Kill { job: id }
-        });
+        let push_back = Action::PushBack { job: id, come_back };
+        self.actions.push(if harmless { push_back } else { Action::Kill { job: id } });
     }
 }
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -5,12 +5,13 @@
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1    form, then workers: state, start, zone
 //!     job 7 f left=1s            a job of function f
-//!     jobs 10 40 f g             jobs 10 to 39, of the functions in turn
+//!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn
 //!     end 7 finished warm        how its execution ended; `over`, `took=`, `held=` may follow
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
 //!     sent 7 to a                expected among the actions since: also `not a`, or neither
-//!     pushed-back 7, killed 7, cancelled 7, quiet, sent-most a 5, share-sent a 0.5, same-home
+//!     pushed-back 7, killed 7, cancelled 7, watched, quiet, sent-most a 5, sent-least a 5,
+//!     forget                     drops the actions since
 use quartzdrift_choice::choice::Scheduler;
 use quartzdrift_choice::interface::*;
 use std::collections::BTreeMap;
@@ -85,6 +86,7 @@
             "window" => workload.window = Some(span(value)?),
             "executions" => s.allowed.max_executions = Some(number(words.get(1))?),
             "schedulers" => s.schedulers = Some(number(words.get(1))?),
+            "workloads" => s.workloads.resize(number(words.get(1))?, s.workloads[0].clone()),
             "keep" => s.copies.keep = Some(span(value)?),
             "fall" => {
                 s.rules.cold_from = Some(number(words.get(1))?);
@@ -115,8 +117,8 @@
         }
     }
 
-    fn job(&mut self, job: JobId, function: &str, left: Duration) {
-        self.give(Event::Job(JobAsked { job, function, left, ..JobAsked::default() }));
+    fn job(&mut self, job: JobId, function: &str, left: Duration, workload: u32) {
+        self.give(Event::Job(JobAsked { job, function, left, workload, ..JobAsked::default() }));
     }
 
     fn end(&mut self, job: JobId, words: &[&str]) -> Line<'_> {
@@ -174,12 +176,20 @@
             }
             "job" => {
                 let left = words.get(3).and_then(|w| w.strip_prefix("left=")).unwrap_or("3s");
-                self.job(job()?, words.get(2).unwrap_or(&"f"), span(left)?);
+                self.job(job()?, words.get(2).unwrap_or(&"f"), span(left)?, 0);
             }
             "jobs" => {
                 let functions = words.get(3..).filter(|f| !f.is_empty()).ok_or("no functions")?;
+                let workload = functions.iter().find_map(|w| w.strip_prefix("workload="));
+                let workload = workload.map_or(Ok(0), |w| number(Some(&w)))?;
+                let functions: Vec<_> = functions.iter().filter(|f| !f.contains('=')).collect();
                 for job in job()?..number(words.get(2))? {
-                    self.job(job, functions[job as usize % functions.len()], Duration::from_secs(3));
+                    self.job(
+                        job,
+                        functions[job as usize % functions.len()],
+                        Duration::from_secs(3),
+                        workload,
+                    );
                 }
             }
             "end" if words.len() > 2 => self.end(job()?, &words[2..])?,
