Cold workers: a share of less than a job is rounded by chance, not up to one

Cause: a scheduler with nothing sent in the rule's window always let one job through. Five schedulers make five jobs of that; 71, 119 and 331 schedulers make hundreds. Change: the budget is kept by half windows whose phase differs by scheduler, and a share of less than a job is rounded up or down by a draw made once for each half window, so that the sum holds in expectation for any number of schedulers. Three half windows can meet one window: 0.6 of the budget is used instead of 0.9. Harm: a cold worker warms its copies slowly where the fleet is little used.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::measure::{Fading, Histogram};
 use crate::names::{Names, hash};
 use crate::post::Post;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 // Constants, each with its unit and the reason for its size.
@@ -35,7 +35,7 @@
 const REFUSED_DOWN: u32 = 2; // connections refused in a row: one may be a full connection table
 const ILL_MOST: f64 = 0.4; // share of workers set aside as ill: with more, the trouble is not a worker's own
 const REPORT_AGED: Duration = Duration::from_secs(2); // age of a report that is dropped: several refreshes
-const COLD_SAFETY: f64 = 0.9; // share of the cold rule's budget that is used, since work comes in lumps
+const COLD_SAFETY: f64 = 0.6; // share of the cold rule's budget that is used: three half windows make 0.9 of one
 const USELESS: Duration = Duration::from_millis(30); // time left of no use: below almost any work
 const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
 const COME_BACK_PART: f64 = 0.3; // of a usual execution: many run, one of them ends well before
@@ -128,6 +128,7 @@
 /// The few derived figures that decisions use.
 #[derive(Default)]
 struct Figures {
+    seed: u64,
     keep: Duration,
     cold_from: f64,
     cold_for: Duration,
@@ -209,7 +210,8 @@
     others: Option<(f64, Duration)>,
     heard: Duration,
     cold_since: Option<Duration>,
-    cold_sent: VecDeque<(Duration, f64)>,
+    /// The half window of the cold rule that we are in, and the work sent in it.
+    cold_sent: (u64, f64),
     full_until: Duration,
     /// By workload, since a worker may fail one kind of job only.
     health: BTreeMap<usize, Health>,
@@ -229,9 +231,7 @@
                 let mark = self.marks.entry(execution.function).or_default();
                 mark.stands &= mark.known.max(mark.assumed) > now;
                 mark.assumed = now + figures.keep;
-                if self.cold_since.is_some() {
-                    self.cold_sent.push_back((now, execution.weight));
-                }
+                self.cold_sent.1 += execution.weight;
                 self.out.push(execution);
             }
             Note::Ended(ending) => self.ended(ending, now, figures),
@@ -245,7 +245,6 @@
             // A new process: it is empty, and the old one's failings are not its own.
             self.marks.clear();
             self.cold_since = listing.started;
-            self.cold_sent.clear();
             self.health.clear();
             self.refused = 0;
         }
@@ -286,23 +285,24 @@
 
     /// Guards against a cold worker pushed over by all schedulers at once: each sends it at most its own
     /// fair share of what a cold worker can surely do, so that the sum is safe however traffic is split.
+    /// A share of less than a job is rounded by chance, anew each half window: one job each would be many.
     fn cold_room(&mut self, call: &Call, now: Duration, figures: &Figures) -> bool {
         let Some(since) = self.cold_since else { return true };
-        let age = now.saturating_sub(since);
-        if age >= figures.cold_for {
+        let (age, half) = (now.saturating_sub(since), figures.fall_window / 2);
+        if age >= figures.cold_for || half.is_zero() {
             self.cold_since = None;
-            self.cold_sent.clear();
             return true;
         }
-        let oldest = now.saturating_sub(figures.fall_window);
-        while self.cold_sent.front().is_some_and(|&(at, _)| at < oldest) {
-            self.cold_sent.pop_front();
+        let phase = hash(&(figures.seed, self.ix)) % half.as_micros().max(1) as u64;
+        let slot = (now.as_micros() as u64 + phase) / half.as_micros().max(1) as u64;
+        if slot != self.cold_sent.0 {
+            self.cold_sent = (slot, 0.0);
         }
-        let sent: f64 = self.cold_sent.iter().map(|&(_, weight)| weight).sum();
         let warmed = age.as_secs_f64() / figures.cold_for.as_secs_f64();
         let least = figures.cold_from + (1.0 - figures.cold_from) * warmed;
-        let budget = figures.cold_budget * least * call.fair_rate * figures.fall_window.as_secs_f64();
-        self.cold_sent.is_empty() || sent + call.weight <= budget
+        let budget = figures.cold_budget * least * call.fair_rate * half.as_secs_f64();
+        let chance = hash(&(figures.seed, self.ix, slot)) as f64 / u64::MAX as f64;
+        self.cold_sent.1 + call.weight * (1.0 - chance) <= budget
     }
 
     /// Guards against workers that answer nothing, fail quickly or refuse: they look idle and draw jobs.
@@ -405,7 +405,6 @@
     waiting: usize,
     offers: Vec<Offer>,
     finished: Fading,
-    seed: u64,
     drawn: u64,
     workers: Vec<Worker>,
     worker_names: Names,
@@ -431,6 +430,7 @@
             slow: histogram.clone(),
         };
         let figures = Figures {
+            seed,
             keep: copies.keep.unwrap_or(KEEP_UNTOLD),
             cold_from: rules.cold_from.unwrap_or(1.0).clamp(0.0, 1.0),
             cold_for: rules.cold_for.unwrap_or_default(),
@@ -446,7 +446,7 @@
             tells_warm: copies.tells_warm,
         };
         let kinds = settings.workloads.iter().map(kind).collect();
-        Scheduler { figures, kinds, seed, ..Scheduler::default() }
+        Scheduler { figures, kinds, ..Scheduler::default() }
     }
 
     /// Takes one event and returns what to do, in order.
@@ -655,7 +655,7 @@
         if let Some(home) = offers.iter_mut().max_by_key(|o| order(o)) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
-        let chance = |o: &Offer| hash(&(self.seed, self.drawn, o.worker));
+        let chance = |o: &Offer| hash(&(self.figures.seed, self.drawn, o.worker));
         let ranked = offers.iter().map(|o| (o.status, jobs(o), chance(o), *o));
         let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         self.drawn += 1;
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -5,7 +5,8 @@
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1    form, then workers: state, start, zone
 //!     job 7 f left=1s            a job of function f
-//!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn
+//!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the other, each
+//!                                finished at once where it was sent
 //!     end 7 finished warm        how its execution ended; `over`, `took=`, `held=` may follow
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
@@ -65,6 +66,10 @@
     Ok(entry)
 }
 
+fn every_of(words: &[&str]) -> Result<Option<Duration>, String> {
+    words.iter().find_map(|w| w.strip_prefix("every=")).map(span).transpose()
+}
+
 impl Play {
     fn set(&mut self, words: &[&str]) -> Line<'_> {
         let s = &mut self.settings;
@@ -183,13 +188,14 @@
                 let workload = functions.iter().find_map(|w| w.strip_prefix("workload="));
                 let workload = workload.map_or(Ok(0), |w| number(Some(&w)))?;
                 let functions: Vec<_> = functions.iter().filter(|f| !f.contains('=')).collect();
+                let every = every_of(words)?;
                 for job in job()?..number(words.get(2))? {
-                    self.job(
-                        job,
-                        functions[job as usize % functions.len()],
-                        Duration::from_secs(3),
-                        workload,
-                    );
+                    let function = functions[job as usize % functions.len()];
+                    self.now += every.unwrap_or_default();
+                    self.job(job, function, Duration::from_secs(3), workload);
+                    if every.is_some() && self.out.contains_key(&job) {
+                        self.end(job, &["finished"])?;
+                    }
                 }
             }
             "end" if words.len() > 2 => self.end(job()?, &words[2..])?,
