Homes grow with a function's share of the work; others' jobs as a cautious mean of our own

A function now has as many homes, in the common order, as its share of the work asked needs; the share needs no talk and no size, and the last job alone counts nothing. Where no running count is told, own jobs times the number of schedulers moved in steps larger than the bound. Now others are the mean of our own less its chance spread, spread over workers as busyness is reported. 3.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -22,6 +22,7 @@
 const BOUND_LEAST: f64 = 7.0; // estimated jobs, the overload bound's least: a few cores' worth
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
 const BOUND_ALL: f64 = 6.5; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
+const BUSY_ALL: f64 = 0.9; // mean share of busy cores as reported: below it some worker has room
 const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
 const NEARLY_ALL: f64 = 0.95; // share of executions that patience is measured on
 const PATIENCE_BLIND: Duration = Duration::from_millis(1500); // before anything was measured: a long load
@@ -41,6 +42,9 @@
 const COME_BACK_PART: f64 = 0.3; // of a usual execution: many run, one of them ends well before
 const KEEP_UNTOLD: Duration = Duration::from_secs(8); // keep-alive where none is told: a short one
 const ASK_AGAIN: Duration = Duration::from_secs(1); // after a call to the list failed: it is crowded
+const HOMES: f64 = 3.0; // most homes of a function for each worker's worth of its jobs: a third fills none
+const HOME_JOBS: f64 = 0.5; // of a copy's lanes, jobs of one function in progress at a home: half are free
+const ASKED_HALF: Duration = Duration::from_secs(5); // in which a function's popularity forgets half
 const SWEEP: Duration = Duration::from_secs(60); // between sweeps of old marks and names: many keep-alives
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
 
@@ -91,6 +95,8 @@
     weight: f64,
     /// Our own finished work a second for each worker: the part of a worker's capacity that is surely there.
     fair_rate: f64,
+    /// The last reports say that cores are idle.
+    idle: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -141,6 +147,8 @@
     schedulers: f64,
     retry_after: Option<Duration>,
     held_field: Option<usize>,
+    /// What is reported is a count of jobs, not how busy a worker is.
+    counts: bool,
     tells_warm: bool,
 }
 
@@ -223,10 +231,7 @@
     fn take(&mut self, note: Note, now: Duration, figures: &Figures, post: &mut Post<Note>) {
         match note {
             Note::Listed(listing) => self.listed(listing),
-            Note::Call(call) => {
-                let offer = self.offer(&call, now, figures);
-                post.put(DESK, Note::Offer(offer));
-            }
+            Note::Call(call) => post.put(DESK, Note::Offer(self.offer(&call, now, figures))),
             Note::Execute(execution) => {
                 let mark = self.marks.entry(execution.function).or_default();
                 mark.stands &= mark.known.max(mark.assumed) > now;
@@ -243,10 +248,9 @@
     fn listed(&mut self, listing: Listing) {
         if listing.started > self.listing.started {
             // A new process: it is empty, and the old one's failings are not its own.
+            (self.cold_since, self.refused) = (listing.started, 0);
             self.marks.clear();
-            self.cold_since = listing.started;
             self.health.clear();
-            self.refused = 0;
         }
         self.listing = listing;
     }
@@ -260,27 +264,18 @@
             return None;
         }
         let mark = self.marks.get(&call.function).copied().unwrap_or_default();
-        let status = match (mark.known > now, mark.assumed > now) {
-            (true, _) => Status::Known,
-            (false, true) => Status::Assumed,
-            (false, false) => Status::NotWarm,
-        };
+        let ranks = [(mark.known, Status::Known), (mark.assumed, Status::Assumed)];
+        let status = ranks.iter().find(|(until, _)| *until > now).map_or(Status::NotWarm, |r| r.1);
         let stands = mark.stands && status != Status::NotWarm;
         self.ghosts.retain(|&until| until > now);
-        let own = self.out.len() + self.ghosts.len();
+        // Lost answers swell our own count: where cores are reported idle, nothing given up is worked on.
+        let ghosts = if call.idle { 0 } else { self.ghosts.len() };
         let others = self.others.filter(|(_, at)| now - *at < REPORT_AGED).map(|(others, _)| others);
         let ill = self.ill(call, now);
         let stood = |o: &&Execution| self.marks.get(&o.function).is_some_and(|m| m.stands);
         let working = self.out.iter().filter(stood).count();
-        Some(Offer {
-            worker: self.ix,
-            status,
-            others,
-            own,
-            working: working + self.ghosts.len(),
-            stands,
-            ill,
-        })
+        let (own, working) = (self.out.len() + ghosts, working + ghosts);
+        Some(Offer { worker: self.ix, status, others, own, working, stands, ill })
     }
 
     /// Guards against a cold worker pushed over by all schedulers at once: each sends it at most its own
@@ -331,7 +326,7 @@
         let at = self.out.iter().position(|o| (o.job, o.execution) == (ending.job, ending.execution));
         let Some(execution) = at.map(|at| self.out.swap_remove(at)) else { return };
         if let Some(held) = ending.held {
-            self.others = Some(((held - own).max(0.0), now));
+            self.others = Some((if figures.counts { (held - own).max(0.0) } else { held }, now));
         }
         let mark = self.marks.entry(execution.function).or_default();
         let health = self.health.entry(execution.workload).or_default();
@@ -341,10 +336,8 @@
                 mark.stands = true;
                 mark.known = if figures.tells_warm { now + figures.keep } else { mark.known };
                 self.heard = now;
-                if self.refused >= REFUSED_DOWN && self.cold_since.is_none() {
-                    self.cold_since = Some(now);
-                }
-                self.refused = 0;
+                let back = (self.refused >= REFUSED_DOWN).then_some(now);
+                (self.cold_since, self.refused) = (self.cold_since.or(back), 0);
                 health.errors *= 1.0 - 1.0 / ERRORS_OVER;
                 if health.errors < ERRORS_ILL {
                     health.shuns = 0;
@@ -373,7 +366,7 @@
             Outcome::Miss => *mark = Mark::default(),
             // Guards against estimates that fall when jobs are given up: a worker may go on unseen.
             // Reports of what it holds would tell.
-            Outcome::Cancelled | Outcome::TimedOut if figures.held_field.is_none() => {
+            Outcome::Cancelled | Outcome::TimedOut if !figures.counts => {
                 self.ghosts.push(now + execution.patience)
             }
             Outcome::Cancelled | Outcome::TimedOut | Outcome::Moot => {}
@@ -385,6 +378,8 @@
 struct Job {
     workload: usize,
     function: usize,
+    /// Of a loaded copy, two at most: more share the cores.
+    lanes: f64,
     give_up: Duration,
     executions: u32,
     /// The worker of the first execution that may have run, and when it was sent.
@@ -404,7 +399,11 @@
     calling: Option<JobId>,
     waiting: usize,
     offers: Vec<Offer>,
+    idle: bool,
     finished: Fading,
+    /// Work asked of us of late, for each function and in all.
+    asked: Vec<Fading>,
+    asked_all: Fading,
     drawn: u64,
     workers: Vec<Worker>,
     worker_names: Names,
@@ -421,6 +420,8 @@
     pub fn new(settings: &Settings, seed: u64) -> Scheduler {
         let (allowed, rules, copies) = (&settings.allowed, &settings.rules, &settings.copies);
         let field = |kind| settings.report_fields.iter().position(|&f| f == kind);
+        // Jobs waiting are the least that a worker holds.
+        let counted = field(ReportField::Held).or(field(ReportField::Queued));
         let histogram = Histogram::new(FIRST_BIN, BIN_RATIO, BINS, HALVE_AT);
         let kind = |w: &Workload| Kind {
             effect: w.effect,
@@ -441,8 +442,8 @@
             asks: settings.discovery == Discovery::Ask,
             schedulers: f64::from(settings.schedulers.unwrap_or(1)),
             retry_after: allowed.retry_after.then_some(allowed.max_retry_after.unwrap_or(COME_BACK)),
-            // Jobs waiting are the least that a worker holds.
-            held_field: field(ReportField::Held).or(field(ReportField::Queued)),
+            held_field: counted.or(field(ReportField::Busy)),
+            counts: counted.is_some(),
             tells_warm: copies.tells_warm,
         };
         let kinds = settings.workloads.iter().map(kind).collect();
@@ -466,13 +467,9 @@
                     self.post.put(DESK, Note::Place(job));
                 }
             }
-            Event::Expired { job } => {
-                self.jobs.remove(&job);
-            }
+            Event::Expired { job } => drop(self.jobs.remove(&job)),
             Event::Timer { .. } => {
-                for ix in 0..self.workers.len() {
-                    self.post.put(ix + 1, Note::Tick);
-                }
+                (0..self.workers.len()).for_each(|ix| self.post.put(ix + 1, Note::Tick));
                 self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
                 if self.watch_at.is_some_and(|at| at <= self.now) {
                     self.watch_at = None;
@@ -495,9 +492,8 @@
             return;
         }
         self.swept = self.now;
-        for worker in &mut self.workers {
-            worker.marks.retain(|_, mark| mark.known.max(mark.assumed) > self.now);
-        }
+        let fresh = |mark: &Mark| mark.known.max(mark.assumed) > self.now;
+        self.workers.iter_mut().for_each(|worker| worker.marks.retain(|_, mark| fresh(mark)));
         self.functions.forget_before(self.now.saturating_sub(SWEEP + self.figures.keep * 2));
     }
 
@@ -513,7 +509,8 @@
         if form == ListForm::Saved {
             self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
             self.watch_at = self.figures.asks.then_some(self.now);
-        } else if form == ListForm::Failed && self.figures.asks {
+        }
+        if form == ListForm::Failed && self.figures.asks {
             self.watch_at = Some(self.now + ASK_AGAIN);
         }
         if matches!(form, ListForm::Full | ListForm::Saved) {
@@ -535,12 +532,13 @@
             self.actions.push(Action::PushBack { job: asked.job, come_back: None });
             return;
         }
-        let job = Job {
-            workload,
-            function: self.functions.index(asked.function, self.now),
-            give_up: self.now + asked.left,
-            ..Job::default()
-        };
+        let function = self.functions.index(asked.function, self.now);
+        let (weight, now) = (self.kinds[workload].weight(), self.now);
+        self.asked.resize(self.asked.len().max(function + 1), Fading::default());
+        self.asked[function].add(weight, now, ASKED_HALF);
+        self.asked_all.add(weight, now, ASKED_HALF);
+        let (give_up, lanes) = (now + asked.left, asked.lanes.unwrap_or(1.0).clamp(1.0, 2.0));
+        let job = Job { workload, function, lanes, give_up, ..Job::default() };
         self.jobs.insert(asked.job, job);
         self.post.put(DESK, Note::Place(asked.job));
     }
@@ -579,9 +577,8 @@
             Note::Offer(offer) => {
                 self.offers.extend(offer);
                 self.waiting -= 1;
-                if self.waiting == 0
-                    && let Some(job) = self.calling.take()
-                {
+                let all = self.waiting == 0;
+                if let Some(job) = self.calling.take_if(|_| all) {
                     self.choose(job);
                 }
             }
@@ -612,14 +609,13 @@
             confined,
             risks: self.may_go_on(job, 1),
             weight: kind.weight(),
+            idle: self.idle,
             fair_rate: self.finished.per_second(self.now, RATE_HALF) / listed as f64,
         };
         self.offers.clear();
         self.calling = Some(id);
         self.waiting = self.workers.len();
-        for ix in 0..self.workers.len() {
-            self.post.put(ix + 1, Note::Call(call));
-        }
+        (0..self.workers.len()).for_each(|ix| self.post.put(ix + 1, Note::Call(call)));
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
@@ -634,13 +630,18 @@
         offers.retain(|o| !job.tried.contains(&o.worker));
         let reported: Vec<f64> = offers.iter().filter_map(|o| o.others).collect();
         let average = reported.iter().sum::<f64>() / reported.len().max(1) as f64;
-        let blind = reported.is_empty();
-        let alike = self.figures.schedulers;
-        let jobs = |o: &Offer| {
-            if blind { o.own as f64 * alike } else { o.others.unwrap_or(average) + o.own as f64 }
+        self.idle = !self.figures.counts && !reported.is_empty() && average < BUSY_ALL;
+        let own: usize = offers.iter().map(|o| o.own).sum();
+        // Where no count is told the other schedulers are taken to send as we do, spread as the reports say.
+        let sample = own as f64 - (own as f64).sqrt();
+        let alike = (self.figures.schedulers - 1.0) * sample / offers.len() as f64;
+        let others = |o: &Offer| match (self.figures.counts && !reported.is_empty(), average > 0.0) {
+            (true, _) => o.others.unwrap_or(average),
+            (false, true) => alike * o.others.map_or(1.0, |others| others / average),
+            (false, false) => alike,
         };
+        let jobs = |o: &Offer| others(o) + o.own as f64;
         let mean = offers.iter().map(jobs).sum::<f64>() / offers.len() as f64;
-        let own: usize = offers.iter().map(|o| o.own).sum();
         let working: usize = offers.iter().map(|o| o.working).sum();
         let busy = mean * working as f64 / own.max(1) as f64;
         if busy > BOUND_ALL {
@@ -649,10 +650,18 @@
         }
         let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
         offers.retain(|o| jobs(o) < bound);
-        // Each scheduler sees its own marks only; the home that all agree on counts as warm for each of them.
+        // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each of
+        // them, as many as the function's share of the work needs. One job tells nothing of popularity.
+        let weight = self.kinds[job.workload].weight();
+        let asked = (self.asked[function].now(self.now, ASKED_HALF) - weight).max(0.0);
+        let share = asked / self.asked_all.now(self.now, ASKED_HALF);
+        let in_progress = asked * std::f64::consts::LN_2 / ASKED_HALF.as_secs_f64() * self.figures.schedulers;
+        let homes =
+            1 + (share * HOMES * offers.len() as f64).min(in_progress / (HOME_JOBS * job.lanes)) as usize;
         let name = self.functions.name(function);
         let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
-        if let Some(home) = offers.iter_mut().max_by_key(|o| order(o)) {
+        offers.sort_by_cached_key(order);
+        for home in offers.iter_mut().take(homes) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
         let chance = |o: &Offer| hash(&(self.figures.seed, self.drawn, o.worker));
@@ -678,15 +687,9 @@
         let patience = kind.patience(!offer.stands);
         // Where executions cannot be called off, their time is limited from the start.
         let limited = self.may_go_on(job, 1) && !self.figures.cancel;
-        let execution = Execution {
-            job: id,
-            execution: job.executions,
-            workload: job.workload,
-            function: job.function,
-            weight: kind.weight(),
-            patience,
-            sent: now,
-        };
+        let (weight, &Job { workload, function, executions, .. }) = (kind.weight(), job);
+        let execution =
+            Execution { job: id, execution: executions, workload, function, weight, patience, sent: now };
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.executions += 1;
         job.current = Some((offer.status, now));
@@ -708,9 +711,8 @@
     fn conclude(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
         let kind = &self.kinds[job.workload];
-        let harmless = job.may_have_run.is_none()
-            || kind.effect == Effect::Restartable
-            || kind.effect == Effect::Fingerprinted && kind.group == Group::All;
+        let repeats = kind.effect == Effect::Fingerprinted && kind.group == Group::All;
+        let harmless = job.may_have_run.is_none() || kind.effect == Effect::Restartable || repeats;
         let come_back = kind.takes(0.5, false).unwrap_or(COME_BACK).mul_f64(COME_BACK_PART);
         let come_back = self.figures.retry_after.map(|most| come_back.min(most));
         let push_back = Action::PushBack { job: id, come_back };
