--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -35,7 +35,7 @@
 const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
 const REFUSED_DOWN: u32 = 2; // connections refused in a row: one may be a full connection table
 const ILL_MOST: f64 = 0.4; // share of workers set aside as ill: with more, the trouble is not a worker's own
-const REPORT_AGED: Duration = Duration::from_secs(2); // age of a report that is dropped: several refreshes
+const REPORT_AGED: Duration = Duration::from_secs(6); // age of a report that is dropped: several refreshes
 const COLD_SAFETY: f64 = 0.6; // share of the cold rule's budget that is used: three half windows make 0.9 of one
 const USELESS: Duration = Duration::from_millis(30); // time left of no use: below almost any work
 const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
@@ -44,7 +44,7 @@
 const ASK_AGAIN: Duration = Duration::from_secs(1); // after a call to the list failed: it is crowded
 const HOMES: f64 = 3.0; // most homes of a function for each worker's worth of its jobs: a third fills none
 const HOME_JOBS: f64 = 0.5; // of a copy's lanes, jobs of one function in progress at a home: half are free
-const ASKED_HALF: Duration = Duration::from_secs(5); // in which a function's popularity forgets half
+const ASKED_HALF: Duration = Duration::from_secs(15); // in which a function's popularity forgets half
 const SWEEP: Duration = Duration::from_secs(60); // between sweeps of old marks and names: many keep-alives
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
 
