In overload jobs still go to warm workers under the bound; cold budget from the peak

Could harm where reports lag far behind. 2. Work is weighed against the usual execution, so that a crowd that slows all does not shrink the budget. 4.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -33,10 +33,9 @@
 const SHUN_FULL: Duration = Duration::from_millis(150); // apart after a full answer: a few jobs end meanwhile
 const ERRORS_ILL: f64 = 0.3; // share of recent executions in error: chance errors are far rarer
 const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
-const REFUSED_DOWN: u32 = 2; // connections refused in a row: one may be a full connection table
 const ILL_MOST: f64 = 0.4; // share of workers set aside as ill: with more, the trouble is not a worker's own
 const REPORT_AGED: Duration = Duration::from_secs(6); // age of a report that is dropped: several refreshes
-const COLD_SAFETY: f64 = 0.6; // share of the cold rule's budget that is used: three half windows make 0.9 of one
+const COLD_SAFETY: f64 = 0.7; // share of the cold rule's budget that is used: three half windows make one full one
 const USELESS: Duration = Duration::from_millis(30); // time left of no use: below almost any work
 const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
 const COME_BACK_PART: f64 = 0.3; // of a usual execution: many run, one of them ends well before
@@ -162,10 +161,6 @@
 }
 
 impl Kind {
-    fn weight(&self) -> f64 {
-        self.quick.mean().map_or(1.0, |mean| mean.as_secs_f64())
-    }
-
     /// What a share of the executions that found a copy take at most, or of those that had to load.
     fn takes(&self, share: f64, loading: bool) -> Option<Duration> {
         let times = if loading { &self.slow } else { &self.quick };
@@ -223,8 +218,6 @@
     full_until: Duration,
     /// By workload, since a worker may fail one kind of job only.
     health: BTreeMap<usize, Health>,
-    /// Connections refused in a row.
-    refused: u32,
 }
 
 impl Worker {
@@ -248,7 +241,7 @@
     fn listed(&mut self, listing: Listing) {
         if listing.started > self.listing.started {
             // A new process: it is empty, and the old one's failings are not its own.
-            (self.cold_since, self.refused) = (listing.started, 0);
+            self.cold_since = listing.started;
             self.marks.clear();
             self.health.clear();
         }
@@ -256,11 +249,8 @@
     }
 
     fn offer(&mut self, call: &Call, now: Duration, figures: &Figures) -> Option<Offer> {
-        if self.listing.state != State::Up {
-            return None;
-        }
         let strange = call.confined.is_some_and(|(group, ran)| !self.listing.shares(group, &ran));
-        if strange || !self.cold_room(call, now, figures) {
+        if self.listing.state != State::Up || strange || !self.cold_room(call, now, figures) {
             return None;
         }
         let mark = self.marks.get(&call.function).copied().unwrap_or_default();
@@ -336,8 +326,6 @@
                 mark.stands = true;
                 mark.known = if figures.tells_warm { now + figures.keep } else { mark.known };
                 self.heard = now;
-                let back = (self.refused >= REFUSED_DOWN).then_some(now);
-                (self.cold_since, self.refused) = (self.cold_since.or(back), 0);
                 health.errors *= 1.0 - 1.0 / ERRORS_OVER;
                 if health.errors < ERRORS_ILL {
                     health.shuns = 0;
@@ -357,10 +345,8 @@
             }
             Outcome::ConnectFailed => {
                 // Guards against a process that is down: it comes back empty and cold before the list tells.
-                self.refused += 1;
-                if self.refused >= REFUSED_DOWN {
-                    self.marks.clear();
-                }
+                self.marks.clear();
+                self.cold_since = Some(now);
                 self.health.values_mut().for_each(|health| health.shun(now));
             }
             Outcome::Miss => *mark = Mark::default(),
@@ -401,6 +387,9 @@
     offers: Vec<Offer>,
     idle: bool,
     finished: Fading,
+    /// The most finished a second and the most workers up: what workers can surely do, also in a jam.
+    peak: Fading,
+    most_listed: usize,
     /// Work asked of us of late, for each function and in all.
     asked: Vec<Fading>,
     asked_all: Fading,
@@ -446,8 +435,7 @@
             counts: counted.is_some(),
             tells_warm: copies.tells_warm,
         };
-        let kinds = settings.workloads.iter().map(kind).collect();
-        Scheduler { figures, kinds, ..Scheduler::default() }
+        Scheduler { figures, kinds: settings.workloads.iter().map(kind).collect(), ..Scheduler::default() }
     }
 
     /// Takes one event and returns what to do, in order.
@@ -471,8 +459,7 @@
             Event::Timer { .. } => {
                 (0..self.workers.len()).for_each(|ix| self.post.put(ix + 1, Note::Tick));
                 self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
-                if self.watch_at.is_some_and(|at| at <= self.now) {
-                    self.watch_at = None;
+                if self.watch_at.take_if(|at| *at <= self.now).is_some() {
                     self.actions.push(Action::Watch { on: true });
                 }
             }
@@ -487,6 +474,18 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// What the usual execution takes, in seconds: the mean over workloads.
+    fn usual(&self) -> f64 {
+        let measured = self.kinds.iter().filter_map(|k| k.quick.mean());
+        let (count, sum) = measured.fold((0, Duration::ZERO), |(n, sum), mean| (n + 1, sum + mean));
+        sum.checked_div(count).map_or(1.0, |mean| mean.as_secs_f64())
+    }
+
+    /// The work of a job of this workload against the usual one; a crowd that slows all changes no weight.
+    fn weight(&self, workload: usize) -> f64 {
+        self.kinds[workload].quick.mean().map_or(1.0, |mean| mean.as_secs_f64() / self.usual())
+    }
+
     fn sweep(&mut self) {
         if self.now < self.swept + SWEEP {
             return;
@@ -533,7 +532,7 @@
             return;
         }
         let function = self.functions.index(asked.function, self.now);
-        let (weight, now) = (self.kinds[workload].weight(), self.now);
+        let (weight, now) = (self.weight(workload), self.now);
         self.asked.resize(self.asked.len().max(function + 1), Fading::default());
         self.asked[function].add(weight, now, ASKED_HALF);
         self.asked_all.add(weight, now, ASKED_HALF);
@@ -558,8 +557,10 @@
                 };
                 let times = if warm { &mut kind.quick } else { &mut kind.slow };
                 times.add(took);
-                let weight = kind.weight();
-                self.finished.add(weight, now, RATE_HALF);
+                let workload = job.workload;
+                self.finished.add(self.weight(workload), now, RATE_HALF);
+                let more = self.finished.per_second(now, RATE_HALF) - self.peak.now(now, SWEEP);
+                self.peak.add(more.max(0.0), now, SWEEP);
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
                 job.may_have_run.get_or_insert((worker, sent));
@@ -603,14 +604,15 @@
         let ran = job.may_have_run.filter(|_| kind.effect == Effect::Fingerprinted);
         let confined = ran.map(|(worker, _)| (kind.group, self.workers[worker].listing));
         let listed = self.workers.iter().filter(|w| w.listing.state == State::Up).count().max(1);
+        self.most_listed = self.most_listed.max(listed);
         let call = Call {
             workload: job.workload,
             function: job.function,
             confined,
             risks: self.may_go_on(job, 1),
-            weight: kind.weight(),
+            weight: self.weight(job.workload),
             idle: self.idle,
-            fair_rate: self.finished.per_second(self.now, RATE_HALF) / listed as f64,
+            fair_rate: self.peak.now(self.now, SWEEP) / self.most_listed as f64,
         };
         self.offers.clear();
         self.calling = Some(id);
@@ -622,48 +624,46 @@
     fn choose(&mut self, id: JobId) {
         let mut offers = std::mem::take(&mut self.offers);
         let Some(job) = self.jobs.get(&id) else { return };
-        let function = job.function;
         let ill = offers.iter().filter(|o| o.ill).count();
         if ill as f64 <= ILL_MOST * offers.len() as f64 {
             offers.retain(|o| !o.ill);
         }
         offers.retain(|o| !job.tried.contains(&o.worker));
-        let reported: Vec<f64> = offers.iter().filter_map(|o| o.others).collect();
-        let average = reported.iter().sum::<f64>() / reported.len().max(1) as f64;
-        self.idle = !self.figures.counts && !reported.is_empty() && average < BUSY_ALL;
+        let reported = offers.iter().filter(|o| o.others.is_some()).count();
+        let average = offers.iter().filter_map(|o| o.others).sum::<f64>() / reported.max(1) as f64;
+        self.idle = !self.figures.counts && reported > 0 && average < BUSY_ALL;
         let own: usize = offers.iter().map(|o| o.own).sum();
         // Where no count is told the other schedulers are taken to send as we do, spread as the reports say.
         let sample = own as f64 - (own as f64).sqrt();
         let alike = (self.figures.schedulers - 1.0) * sample / offers.len() as f64;
-        let others = |o: &Offer| match (self.figures.counts && !reported.is_empty(), average > 0.0) {
-            (true, _) => o.others.unwrap_or(average),
-            (false, true) => alike * o.others.map_or(1.0, |others| others / average),
-            (false, false) => alike,
-        };
+        let counted = self.figures.counts && reported > 0;
+        let (unreported, scale) = if counted { (average, 1.0) } else { (alike, alike / average) };
+        let others = |o: &Offer| o.others.filter(|_| average > 0.0).map_or(unreported, |n| n * scale);
         let jobs = |o: &Offer| others(o) + o.own as f64;
         let mean = offers.iter().map(jobs).sum::<f64>() / offers.len() as f64;
         let working: usize = offers.iter().map(|o| o.working).sum();
-        let busy = mean * working as f64 / own.max(1) as f64;
-        if busy > BOUND_ALL {
-            // Guards against load storms: a job sent to load where all are busy only makes them busier.
-            return self.conclude(id);
-        }
+        // Reports count others' jobs that wait for loads and fill no core: ours tell how many do.
+        let busy = if self.figures.counts { mean * working as f64 / own.max(1) as f64 } else { mean };
         let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
         offers.retain(|o| jobs(o) < bound);
         // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each of
         // them, as many as the function's share of the work needs. One job tells nothing of popularity.
-        let weight = self.kinds[job.workload].weight();
-        let asked = (self.asked[function].now(self.now, ASKED_HALF) - weight).max(0.0);
+        let weight = self.weight(job.workload);
+        let asked = (self.asked[job.function].now(self.now, ASKED_HALF) - weight).max(0.0);
         let share = asked / self.asked_all.now(self.now, ASKED_HALF);
-        let in_progress = asked * std::f64::consts::LN_2 / ASKED_HALF.as_secs_f64() * self.figures.schedulers;
-        let homes =
-            1 + (share * HOMES * offers.len() as f64).min(in_progress / (HOME_JOBS * job.lanes)) as usize;
-        let name = self.functions.name(function);
+        let rate = share * self.asked_all.per_second(self.now, ASKED_HALF) * self.figures.schedulers;
+        let most = rate * self.usual() / (HOME_JOBS * job.lanes);
+        let homes = 1 + (share * HOMES * offers.len() as f64).min(most) as usize;
+        let name = self.functions.name(job.function);
         let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
         offers.sort_by_cached_key(order);
         for home in offers.iter_mut().take(homes) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
+        if busy > BOUND_ALL {
+            // Guards against load storms: a job sent to load where all are busy only makes them busier.
+            offers.retain(|o| o.status != Status::NotWarm && jobs(o) < BOUND_ALL);
+        }
         let chance = |o: &Offer| hash(&(self.figures.seed, self.drawn, o.worker));
         let ranked = offers.iter().map(|o| (o.status, jobs(o), chance(o), *o));
         let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
@@ -676,8 +676,8 @@
 
     /// Whether a job may run again with so many more executions behind it.
     fn may_go_on(&self, job: &Job, more: u32) -> bool {
-        let restartable = self.kinds[job.workload].effect == Effect::Restartable;
-        restartable && job.executions + more < self.figures.max_executions
+        let effect = self.kinds[job.workload].effect;
+        effect == Effect::Restartable && job.executions + more < self.figures.max_executions
     }
 
     fn execute(&mut self, id: JobId, offer: Offer) {
@@ -687,7 +687,7 @@
         let patience = kind.patience(!offer.stands);
         // Where executions cannot be called off, their time is limited from the start.
         let limited = self.may_go_on(job, 1) && !self.figures.cancel;
-        let (weight, &Job { workload, function, executions, .. }) = (kind.weight(), job);
+        let (weight, &Job { workload, function, executions, .. }) = (self.weight(job.workload), job);
         let execution =
             Execution { job: id, execution: executions, workload, function, weight, patience, sent: now };
         let Some(job) = self.jobs.get_mut(&id) else { return };
