Full answers to one customer send that one elsewhere; two full answers end a job's bounces

A worker that answers full while it reports fewer jobs than any bound ranks last for that customer for the least keep-alive. Could harm where reports lag so far that a full worker still looks empty; acts only with several customers. 2. Folded: the call for offers is part of the execution, list entries are kept as they came, given-up executions are told apart in the offer.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -30,6 +30,7 @@
 const TICK: Duration = Duration::from_millis(100); // between looks for silence: short beside any patience
 const SHUN_FIRST: Duration = Duration::from_millis(500); // first time apart after a symptom: a few executions
 const SHUNS_MOST: u32 = 3; // doublings of it: then it is as long as a restart takes
+const FULLS_MOST: u32 = 2; // full answers to a job, then the fleet is full
 const SHUN_FULL: Duration = Duration::from_millis(150); // apart after a full answer: a few jobs end meanwhile
 const ERRORS_ILL: f64 = 0.3; // share of recent executions in error: chance errors are far rarer
 const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
@@ -68,15 +69,10 @@
     Silent(JobId, u32),
 }
 
-#[derive(Clone, Copy, Default)]
-struct Listing {
-    state: State,
-    zone: u32,
-    cell: u32,
-    started: Option<Duration>,
-}
+/// What the list says of a worker; its name is kept apart.
+type Listing = Entry<'static>;
 
-impl Listing {
+impl Entry<'_> {
     fn shares(&self, group: Group, other: &Listing) -> bool {
         group == Group::All || self.zone == other.zone && (group == Group::Zone || self.cell == other.cell)
     }
@@ -86,6 +82,7 @@
 #[derive(Clone, Copy)]
 struct Call {
     workload: usize,
+    customer: u32,
     function: usize,
     /// Where executions that may have run confine further ones.
     confined: Option<(Group, Listing)>,
@@ -94,8 +91,6 @@
     weight: f64,
     /// Our own finished work a second for each worker: the part of a worker's capacity that is surely there.
     fair_rate: f64,
-    /// The last reports say that cores are idle.
-    idle: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -106,17 +101,17 @@
     own: usize,
     /// Those of our own that wait for no load.
     working: usize,
+    ghosts: usize,
     stands: bool,
     ill: bool,
+    turned: bool,
 }
 
 #[derive(Clone, Copy)]
 struct Execution {
     job: JobId,
     execution: u32,
-    workload: usize,
-    function: usize,
-    weight: f64,
+    call: Call,
     patience: Duration,
     sent: Duration,
 }
@@ -128,6 +123,8 @@
     found: Found,
     /// Jobs that the worker reported to hold.
     held: Option<f64>,
+    /// Full for this customer alone: the worker holds few jobs.
+    room: bool,
 }
 
 /// The few derived figures that decisions use.
@@ -149,6 +146,8 @@
     /// What is reported is a count of jobs, not how busy a worker is.
     counts: bool,
     tells_warm: bool,
+    /// Reports count jobs, and several customers share the workers.
+    shared: bool,
 }
 
 struct Kind {
@@ -216,6 +215,8 @@
     /// The half window of the cold rule that we are in, and the work sent in it.
     cold_sent: (u64, f64),
     full_until: Duration,
+    /// Until when a customer is sent elsewhere, since it alone was turned away.
+    turned: BTreeMap<u32, Duration>,
     /// By workload, since a worker may fail one kind of job only.
     health: BTreeMap<usize, Health>,
 }
@@ -226,10 +227,10 @@
             Note::Listed(listing) => self.listed(listing),
             Note::Call(call) => post.put(DESK, Note::Offer(self.offer(&call, now, figures))),
             Note::Execute(execution) => {
-                let mark = self.marks.entry(execution.function).or_default();
+                let mark = self.marks.entry(execution.call.function).or_default();
                 mark.stands &= mark.known.max(mark.assumed) > now;
                 mark.assumed = now + figures.keep;
-                self.cold_sent.1 += execution.weight;
+                self.cold_sent.1 += execution.call.weight;
                 self.out.push(execution);
             }
             Note::Ended(ending) => self.ended(ending, now, figures),
@@ -258,14 +259,13 @@
         let status = ranks.iter().find(|(until, _)| *until > now).map_or(Status::NotWarm, |r| r.1);
         let stands = mark.stands && status != Status::NotWarm;
         self.ghosts.retain(|&until| until > now);
-        // Lost answers swell our own count: where cores are reported idle, nothing given up is worked on.
-        let ghosts = if call.idle { 0 } else { self.ghosts.len() };
         let others = self.others.filter(|(_, at)| now - *at < REPORT_AGED).map(|(others, _)| others);
         let ill = self.ill(call, now);
-        let stood = |o: &&Execution| self.marks.get(&o.function).is_some_and(|m| m.stands);
+        let stood = |o: &&Execution| self.marks.get(&o.call.function).is_some_and(|m| m.stands);
         let working = self.out.iter().filter(stood).count();
-        let (own, working) = (self.out.len() + ghosts, working + ghosts);
-        Some(Offer { worker: self.ix, status, others, own, working, stands, ill })
+        let (own, ghosts) = (self.out.len(), self.ghosts.len());
+        let turned = self.turned.get(&call.customer).is_some_and(|&until| until > now);
+        Some(Offer { worker: self.ix, status, others, own, working, ghosts, stands, ill, turned })
     }
 
     /// Guards against a cold worker pushed over by all schedulers at once: each sends it at most its own
@@ -293,7 +293,7 @@
     /// Guards against workers that answer nothing, fail quickly or refuse: they look idle and draw jobs.
     fn ill(&mut self, call: &Call, now: Duration) -> bool {
         let health = self.health.entry(call.workload).or_default();
-        let out = self.out.iter().any(|out| out.workload == call.workload);
+        let out = self.out.iter().any(|out| out.call.workload == call.workload);
         now < health.shunned_until || now < self.full_until || health.shuns > 0 && (out || !call.risks)
     }
 
@@ -303,7 +303,9 @@
         let overdue = |out: &&Execution| now.saturating_sub(out.sent.max(self.heard)) > out.patience;
         let mut late = self.out.iter().filter(overdue);
         let Some(first) = late.next() else { return };
-        if late.any(|out| out.function != first.function) || now - first.sent > first.patience * SILENCE_ONE {
+        if late.any(|out| out.call.function != first.call.function)
+            || now - first.sent > first.patience * SILENCE_ONE
+        {
             self.health.values_mut().for_each(|health| health.shun(now));
             for out in &self.out {
                 post.put(DESK, Note::Silent(out.job, out.execution));
@@ -318,8 +320,8 @@
         if let Some(held) = ending.held {
             self.others = Some((if figures.counts { (held - own).max(0.0) } else { held }, now));
         }
-        let mark = self.marks.entry(execution.function).or_default();
-        let health = self.health.entry(execution.workload).or_default();
+        let mark = self.marks.entry(execution.call.function).or_default();
+        let health = self.health.entry(execution.call.workload).or_default();
         match ending.outcome {
             Outcome::Finished => {
                 mark.assumed = now + figures.keep;
@@ -340,8 +342,13 @@
                 }
             }
             Outcome::Full => {
+                // Guards against workers that turn one customer away and have room for all others.
                 self.heard = now;
-                self.full_until = now + SHUN_FULL;
+                if ending.room {
+                    self.turned.insert(execution.call.customer, now + figures.keep);
+                } else {
+                    self.full_until = now + SHUN_FULL;
+                }
             }
             Outcome::ConnectFailed => {
                 // Guards against a process that is down: it comes back empty and cold before the list tells.
@@ -363,6 +370,7 @@
 #[derive(Default)]
 struct Job {
     workload: usize,
+    customer: u32,
     function: usize,
     /// Of a loaded copy, two at most: more share the cores.
     lanes: f64,
@@ -373,6 +381,7 @@
     /// Cache status and time of the execution that is out.
     current: Option<(Status, Duration)>,
     tried: Vec<usize>,
+    fulls: u32,
 }
 
 /// One instance of the router's decisions.
@@ -382,10 +391,9 @@
     kinds: Vec<Kind>,
     jobs: BTreeMap<JobId, Job>,
     /// The job that offers are called for, how many workers are still to reply, and what they offered.
-    calling: Option<JobId>,
+    calling: Option<(JobId, Call)>,
     waiting: usize,
     offers: Vec<Offer>,
-    idle: bool,
     finished: Fading,
     /// The most finished a second and the most workers up: what workers can surely do, also in a jam.
     peak: Fading,
@@ -393,6 +401,7 @@
     /// Work asked of us of late, for each function and in all.
     asked: Vec<Fading>,
     asked_all: Fading,
+    began: Option<Duration>,
     drawn: u64,
     workers: Vec<Worker>,
     worker_names: Names,
@@ -433,6 +442,7 @@
             retry_after: allowed.retry_after.then_some(allowed.max_retry_after.unwrap_or(COME_BACK)),
             held_field: counted.or(field(ReportField::Busy)),
             counts: counted.is_some(),
+            shared: counted.is_some() && settings.customers.len() > 1,
             tells_warm: copies.tells_warm,
         };
         Scheduler { figures, kinds: settings.workloads.iter().map(kind).collect(), ..Scheduler::default() }
@@ -441,14 +451,20 @@
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         self.now = self.now.max(now);
-        self.sweep();
+        if self.now >= self.swept + SWEEP {
+            self.swept = self.now;
+            let fresh = |mark: &Mark| mark.known.max(mark.assumed) > self.now;
+            self.workers.iter_mut().for_each(|worker| worker.marks.retain(|_, mark| fresh(mark)));
+            self.functions.forget_before(self.now.saturating_sub(SWEEP + self.figures.keep * 2));
+        }
         match event {
             Event::List { form, entries } => self.list(form, &entries),
             Event::Job(asked) => self.job(&asked),
             Event::Ended { job, execution, worker, outcome, took, over, found, crowd: _, report } => {
                 let worker = self.worker(worker);
                 let held = self.figures.held_field.and_then(|at| report.get(at).copied().flatten());
-                let ending = Ending { job, execution, outcome, found, held };
+                let room = self.figures.shared && held.is_some_and(|held| held < BOUND_LEAST);
+                let ending = Ending { job, execution, outcome, found, held, room };
                 self.judge(&ending, worker, took, over);
                 self.post.put(worker + 1, Note::Ended(ending));
                 if !over && self.jobs.contains_key(&job) {
@@ -474,26 +490,16 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// What the usual execution takes, in seconds: the mean over workloads.
-    fn usual(&self) -> f64 {
-        let measured = self.kinds.iter().filter_map(|k| k.quick.mean());
-        let (count, sum) = measured.fold((0, Duration::ZERO), |(n, sum), mean| (n + 1, sum + mean));
-        sum.checked_div(count).map_or(1.0, |mean| mean.as_secs_f64())
-    }
-
     /// The work of a job of this workload against the usual one; a crowd that slows all changes no weight.
     fn weight(&self, workload: usize) -> f64 {
         self.kinds[workload].quick.mean().map_or(1.0, |mean| mean.as_secs_f64() / self.usual())
     }
 
-    fn sweep(&mut self) {
-        if self.now < self.swept + SWEEP {
-            return;
-        }
-        self.swept = self.now;
-        let fresh = |mark: &Mark| mark.known.max(mark.assumed) > self.now;
-        self.workers.iter_mut().for_each(|worker| worker.marks.retain(|_, mark| fresh(mark)));
-        self.functions.forget_before(self.now.saturating_sub(SWEEP + self.figures.keep * 2));
+    /// What the usual execution takes, in seconds: the mean over workloads.
+    fn usual(&self) -> f64 {
+        let means = self.kinds.iter().filter_map(|kind| kind.quick.mean());
+        let (count, sum) = means.fold((0, Duration::ZERO), |(n, sum), mean| (n + 1, sum + mean));
+        sum.checked_div(count).map_or(1.0, |mean| mean.as_secs_f64())
     }
 
     fn worker(&mut self, name: &str) -> usize {
@@ -513,15 +519,13 @@
             self.watch_at = Some(self.now + ASK_AGAIN);
         }
         if matches!(form, ListForm::Full | ListForm::Saved) {
-            for ix in 0..self.workers.len() {
-                let listing = Listing { state: State::Gone, ..self.workers[ix].listing };
-                self.post.put(ix + 1, Note::Listed(listing));
+            for worker in &self.workers {
+                self.post.put(worker.ix + 1, Note::Listed(Entry { state: State::Gone, ..worker.listing }));
             }
         }
         for entry in entries {
             let ix = self.worker(entry.worker);
-            let &Entry { state, zone, cell, started, .. } = entry;
-            self.post.put(ix + 1, Note::Listed(Listing { state, zone, cell, started }));
+            self.post.put(ix + 1, Note::Listed(Entry { worker: "", ..*entry }));
         }
     }
 
@@ -533,11 +537,12 @@
         }
         let function = self.functions.index(asked.function, self.now);
         let (weight, now) = (self.weight(workload), self.now);
+        self.began.get_or_insert(now);
         self.asked.resize(self.asked.len().max(function + 1), Fading::default());
         self.asked[function].add(weight, now, ASKED_HALF);
         self.asked_all.add(weight, now, ASKED_HALF);
         let (give_up, lanes) = (now + asked.left, asked.lanes.unwrap_or(1.0).clamp(1.0, 2.0));
-        let job = Job { workload, function, lanes, give_up, ..Job::default() };
+        let job = Job { workload, customer: asked.customer, function, lanes, give_up, ..Job::default() };
         self.jobs.insert(asked.job, job);
         self.post.put(DESK, Note::Place(asked.job));
     }
@@ -555,8 +560,7 @@
                     Found::BeganLoad | Found::AwaitedLoad | Found::LoadFailed => false,
                     Found::Untold => status != Status::NotWarm,
                 };
-                let times = if warm { &mut kind.quick } else { &mut kind.slow };
-                times.add(took);
+                if warm { &mut kind.quick } else { &mut kind.slow }.add(took);
                 let workload = job.workload;
                 self.finished.add(self.weight(workload), now, RATE_HALF);
                 let more = self.finished.per_second(now, RATE_HALF) - self.peak.now(now, SWEEP);
@@ -565,7 +569,8 @@
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
                 job.may_have_run.get_or_insert((worker, sent));
             }
-            Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => {}
+            Outcome::Full => job.fulls += u32::from(!ending.room),
+            Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => {}
         }
         if over {
             self.jobs.remove(&ending.job);
@@ -578,9 +583,8 @@
             Note::Offer(offer) => {
                 self.offers.extend(offer);
                 self.waiting -= 1;
-                let all = self.waiting == 0;
-                if let Some(job) = self.calling.take_if(|_| all) {
-                    self.choose(job);
+                if let Some((job, call)) = self.calling.take_if(|_| self.waiting == 0) {
+                    self.choose(job, call);
                 }
             }
             Note::Silent(job, execution) => self.call_off(job, execution),
@@ -596,32 +600,26 @@
             Effect::Fingerprinted => self.now < sent + kind.window,
             Effect::RunOnce => false,
         });
-        let left = job.give_up.saturating_sub(self.now);
-        let spent = job.executions >= self.figures.max_executions || left < USELESS;
-        if !may_send || spent || self.workers.is_empty() {
+        let spent = job.executions >= self.figures.max_executions || job.fulls >= FULLS_MOST;
+        if !may_send || spent || job.give_up < self.now + USELESS || self.workers.is_empty() {
             return self.conclude(id);
         }
         let ran = job.may_have_run.filter(|_| kind.effect == Effect::Fingerprinted);
         let confined = ran.map(|(worker, _)| (kind.group, self.workers[worker].listing));
         let listed = self.workers.iter().filter(|w| w.listing.state == State::Up).count().max(1);
         self.most_listed = self.most_listed.max(listed);
-        let call = Call {
-            workload: job.workload,
-            function: job.function,
-            confined,
-            risks: self.may_go_on(job, 1),
-            weight: self.weight(job.workload),
-            idle: self.idle,
-            fair_rate: self.peak.now(self.now, SWEEP) / self.most_listed as f64,
-        };
+        let fair_rate = self.peak.now(self.now, SWEEP) / self.most_listed as f64;
+        let &Job { workload, customer, function, .. } = job;
+        let (risks, weight) = (self.may_go_on(job, 1), self.weight(workload));
+        let call = Call { workload, customer, function, confined, risks, weight, fair_rate };
         self.offers.clear();
-        self.calling = Some(id);
+        self.calling = Some((id, call));
         self.waiting = self.workers.len();
         (0..self.workers.len()).for_each(|ix| self.post.put(ix + 1, Note::Call(call)));
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
-    fn choose(&mut self, id: JobId) {
+    fn choose(&mut self, id: JobId, call: Call) {
         let mut offers = std::mem::take(&mut self.offers);
         let Some(job) = self.jobs.get(&id) else { return };
         let ill = offers.iter().filter(|o| o.ill).count();
@@ -631,7 +629,10 @@
         offers.retain(|o| !job.tried.contains(&o.worker));
         let reported = offers.iter().filter(|o| o.others.is_some()).count();
         let average = offers.iter().filter_map(|o| o.others).sum::<f64>() / reported.max(1) as f64;
-        self.idle = !self.figures.counts && reported > 0 && average < BUSY_ALL;
+        // Lost answers swell our own count: where cores are reported idle, nothing given up is worked on.
+        if reported == 0 || average >= BUSY_ALL {
+            offers.iter_mut().for_each(|o| o.own += o.ghosts);
+        }
         let own: usize = offers.iter().map(|o| o.own).sum();
         // Where no count is told the other schedulers are taken to send as we do, spread as the reports say.
         let sample = own as f64 - (own as f64).sqrt();
@@ -648,15 +649,16 @@
         offers.retain(|o| jobs(o) < bound);
         // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each of
         // them, as many as the function's share of the work needs. One job tells nothing of popularity.
-        let weight = self.weight(job.workload);
-        let asked = (self.asked[job.function].now(self.now, ASKED_HALF) - weight).max(0.0);
+        let asked = (self.asked[job.function].now(self.now, ASKED_HALF) - call.weight).max(0.0);
         let share = asked / self.asked_all.now(self.now, ASKED_HALF);
-        let rate = share * self.asked_all.per_second(self.now, ASKED_HALF) * self.figures.schedulers;
+        let age = self.now.saturating_sub(self.began.unwrap_or_default()).as_secs_f64() + 1.0;
+        let seen = 1.0 - 0.5f64.powf(age / ASKED_HALF.as_secs_f64());
+        let rate = share * self.asked_all.per_second(self.now, ASKED_HALF) / seen * self.figures.schedulers;
         let most = rate * self.usual() / (HOME_JOBS * job.lanes);
         let homes = 1 + (share * HOMES * offers.len() as f64).min(most) as usize;
         let name = self.functions.name(job.function);
         let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
-        offers.sort_by_cached_key(order);
+        offers.sort_by_cached_key(|o| (o.turned, order(o)));
         for home in offers.iter_mut().take(homes) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
@@ -665,11 +667,11 @@
             offers.retain(|o| o.status != Status::NotWarm && jobs(o) < BOUND_ALL);
         }
         let chance = |o: &Offer| hash(&(self.figures.seed, self.drawn, o.worker));
-        let ranked = offers.iter().map(|o| (o.status, jobs(o), chance(o), *o));
+        let ranked = offers.iter().map(|o| ((o.turned, o.status), jobs(o), chance(o), *o));
         let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         self.drawn += 1;
         match best {
-            Some((_, _, _, offer)) => self.execute(id, offer),
+            Some((_, _, _, offer)) => self.execute(id, call, offer),
             None => self.conclude(id),
         }
     }
@@ -680,16 +682,14 @@
         effect == Effect::Restartable && job.executions + more < self.figures.max_executions
     }
 
-    fn execute(&mut self, id: JobId, offer: Offer) {
+    fn execute(&mut self, id: JobId, call: Call, offer: Offer) {
         let now = self.now;
         let Some(job) = self.jobs.get(&id) else { return };
         let kind = &self.kinds[job.workload];
         let patience = kind.patience(!offer.stands);
         // Where executions cannot be called off, their time is limited from the start.
         let limited = self.may_go_on(job, 1) && !self.figures.cancel;
-        let (weight, &Job { workload, function, executions, .. }) = (self.weight(job.workload), job);
-        let execution =
-            Execution { job: id, execution: executions, workload, function, weight, patience, sent: now };
+        let execution = Execution { job: id, execution: job.executions, call, patience, sent: now };
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.executions += 1;
         job.current = Some((offer.status, now));
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -1,10 +1,10 @@
 //! Plays every file in `scenarios/`. A line is a setting, an event or an expectation; `#` begins a remark.
 //!
-//!     set effect run-once        effect, group, limit, window, executions, schedulers, keep, fall, told, cancel,
-//!                                report held
+//!     set effect run-once        effect, group, limit, window, executions, schedulers, customers, keep, fall, told,
+//!                                cancel, report held
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1    form, then workers: state, start, zone
-//!     job 7 f left=1s            a job of function f
+//!     job 7 f left=1s            a job of function f; `workload=` and `customer=` may follow
 //!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the other, each
 //!                                finished at once where it was sent
 //!     end 7 finished warm        how its execution ended; `over`, `took=`, `held=` may follow
@@ -66,8 +66,9 @@
     Ok(entry)
 }
 
-fn every_of(words: &[&str]) -> Result<Option<Duration>, String> {
-    words.iter().find_map(|w| w.strip_prefix("every=")).map(span).transpose()
+/// The value of a word such as `customer=1`.
+fn value_of<'a>(words: &[&'a str], key: &str) -> Option<&'a str> {
+    words.iter().find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
 }
 
 impl Play {
@@ -91,6 +92,7 @@
             "window" => workload.window = Some(span(value)?),
             "executions" => s.allowed.max_executions = Some(number(words.get(1))?),
             "schedulers" => s.schedulers = Some(number(words.get(1))?),
+            "customers" => s.customers.resize(number(words.get(1))?, Customer::default()),
             "workloads" => s.workloads.resize(number(words.get(1))?, s.workloads[0].clone()),
             "keep" => s.copies.keep = Some(span(value)?),
             "fall" => {
@@ -122,8 +124,12 @@
         }
     }
 
-    fn job(&mut self, job: JobId, function: &str, left: Duration, workload: u32) {
-        self.give(Event::Job(JobAsked { job, function, left, workload, ..JobAsked::default() }));
+    fn job(&mut self, job: JobId, function: &str, words: &[&str]) -> Line<'_> {
+        let count = |key| value_of(words, key).map_or(Ok(0), |w| number(Some(&w)));
+        let (workload, customer) = (count("workload")?, count("customer")?);
+        let left = span(value_of(words, "left").unwrap_or("3s"))?;
+        self.give(Event::Job(JobAsked { job, function, left, workload, customer, ..JobAsked::default() }));
+        Ok(())
     }
 
     fn end(&mut self, job: JobId, words: &[&str]) -> Line<'_> {
@@ -180,19 +186,16 @@
                 self.give(Event::List { form, entries });
             }
             "job" => {
-                let left = words.get(3).and_then(|w| w.strip_prefix("left=")).unwrap_or("3s");
-                self.job(job()?, words.get(2).unwrap_or(&"f"), span(left)?, 0);
+                self.job(job()?, words.get(2).unwrap_or(&"f"), words)?;
             }
             "jobs" => {
                 let functions = words.get(3..).filter(|f| !f.is_empty()).ok_or("no functions")?;
-                let workload = functions.iter().find_map(|w| w.strip_prefix("workload="));
-                let workload = workload.map_or(Ok(0), |w| number(Some(&w)))?;
                 let functions: Vec<_> = functions.iter().filter(|f| !f.contains('=')).collect();
-                let every = every_of(words)?;
+                let every = value_of(words, "every").map(span).transpose()?;
                 for job in job()?..number(words.get(2))? {
                     let function = functions[job as usize % functions.len()];
                     self.now += every.unwrap_or_default();
-                    self.job(job, function, Duration::from_secs(3), workload);
+                    self.job(job, function, words)?;
                     if every.is_some() && self.out.contains_key(&job) {
                         self.end(job, &["finished"])?;
                     }
