In a full fleet less important work and customers served beyond their part give way first

The fleet's bound is moved by the root of a job's claim, at most twice up or down: its workload's importance for each unit of work against the usual, times its customer's part of what all may ask against what was finished for it of late. Folded: fading sums by part in one measure; the notes' types stand in a file of their own, without decisions.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -6,8 +6,9 @@
 //! inboxes; one loop empties them all before the next event. A job is a call for offers to every worker: set
 //! aside those past the overload bound, rank the rest by cache status, then by fewest estimated jobs.
 use crate::interface::*;
-use crate::measure::{Fading, Histogram};
+use crate::measure::{Fading, Histogram, Shares};
 use crate::names::{Names, hash};
+use crate::notes::*;
 use crate::post::Post;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 const RATE_HALF: Duration = Duration::from_secs(4); // in which the mean rate forgets half: many executions
 const BOUND_LEAST: f64 = 7.0; // estimated jobs, the overload bound's least: a few cores' worth
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
+const CLAIM_MOST: f64 = 2.0; // most by which a job's claim moves the bound: none is shut out
 const BOUND_ALL: f64 = 6.5; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
 const BUSY_ALL: f64 = 0.9; // mean share of busy cores as reported: below it some worker has room
 const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
@@ -49,84 +51,18 @@
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Status {
+pub enum Status {
     Known,
     Assumed,
     NotWarm,
 }
 
-/// What desk and workers tell each other.
-enum Note {
-    Listed(Listing),
-    Call(Call),
-    /// `None`: the worker declines.
-    Offer(Option<Offer>),
-    Execute(Execution),
-    Ended(Ending),
-    Place(JobId),
-    Tick,
-    /// This execution is out at a worker that answers nothing.
-    Silent(JobId, u32),
-}
-
-/// What the list says of a worker; its name is kept apart.
-type Listing = Entry<'static>;
-
 impl Entry<'_> {
     fn shares(&self, group: Group, other: &Listing) -> bool {
         group == Group::All || self.zone == other.zone && (group == Group::Zone || self.cell == other.cell)
     }
 }
 
-/// A call for offers for one job.
-#[derive(Clone, Copy)]
-struct Call {
-    workload: usize,
-    customer: u32,
-    function: usize,
-    /// Where executions that may have run confine further ones.
-    confined: Option<(Group, Listing)>,
-    /// Restartable with executions left: may be risked on a worker of doubtful health.
-    risks: bool,
-    weight: f64,
-    /// Our own finished work a second for each worker: the part of a worker's capacity that is surely there.
-    fair_rate: f64,
-}
-
-#[derive(Clone, Copy)]
-struct Offer {
-    worker: usize,
-    status: Status,
-    others: Option<f64>,
-    own: usize,
-    /// Those of our own that wait for no load.
-    working: usize,
-    ghosts: usize,
-    stands: bool,
-    ill: bool,
-    turned: bool,
-}
-
-#[derive(Clone, Copy)]
-struct Execution {
-    job: JobId,
-    execution: u32,
-    call: Call,
-    patience: Duration,
-    sent: Duration,
-}
-
-struct Ending {
-    job: JobId,
-    execution: u32,
-    outcome: Outcome,
-    found: Found,
-    /// Jobs that the worker reported to hold.
-    held: Option<f64>,
-    /// Full for this customer alone: the worker holds few jobs.
-    room: bool,
-}
-
 /// The few derived figures that decisions use.
 #[derive(Default)]
 struct Figures {
@@ -146,6 +82,7 @@
     /// What is reported is a count of jobs, not how busy a worker is.
     counts: bool,
     tells_warm: bool,
+    by_work: bool,
     /// Reports count jobs, and several customers share the workers.
     shared: bool,
 }
@@ -154,6 +91,7 @@
     effect: Effect,
     group: Group,
     window: Duration,
+    importance: f64,
     /// What executions took that found a copy, and those that had to load.
     quick: Histogram,
     slow: Histogram,
@@ -394,14 +332,15 @@
     calling: Option<(JobId, Call)>,
     waiting: usize,
     offers: Vec<Offer>,
-    finished: Fading,
+    /// Work that was finished, by customer, and asked, by function; importance asked.
+    finished: Shares,
+    asked: Shares,
+    asked_worth: Shares,
     /// The most finished a second and the most workers up: what workers can surely do, also in a jam.
     peak: Fading,
     most_listed: usize,
-    /// Work asked of us of late, for each function and in all.
-    asked: Vec<Fading>,
-    asked_all: Fading,
-    began: Option<Duration>,
+    /// Each customer's part of what all may ask.
+    parts: Vec<f64>,
     drawn: u64,
     workers: Vec<Worker>,
     worker_names: Names,
@@ -425,6 +364,7 @@
             effect: w.effect,
             group: w.group,
             window: w.window.unwrap_or_default(),
+            importance: w.importance.unwrap_or(1.0),
             quick: histogram.clone(),
             slow: histogram.clone(),
         };
@@ -444,8 +384,19 @@
             counts: counted.is_some(),
             shared: counted.is_some() && settings.customers.len() > 1,
             tells_warm: copies.tells_warm,
+            by_work: settings.counted_by == CountedBy::Work,
         };
-        Scheduler { figures, kinds: settings.workloads.iter().map(kind).collect(), ..Scheduler::default() }
+        let quota = |c: &Customer| c.jobs_per_second.unwrap_or(0.0).max(0.0);
+        let all: f64 = settings.customers.iter().map(quota).sum();
+        Scheduler {
+            figures,
+            kinds: settings.workloads.iter().map(kind).collect(),
+            parts: settings.customers.iter().map(|c| quota(c) / all).collect(),
+            finished: Shares::new(RATE_HALF),
+            asked: Shares::new(ASKED_HALF),
+            asked_worth: Shares::new(ASKED_HALF),
+            ..Scheduler::default()
+        }
     }
 
     /// Takes one event and returns what to do, in order.
@@ -502,6 +453,22 @@
         sum.checked_div(count).map_or(1.0, |mean| mean.as_secs_f64())
     }
 
+    /// Importance of a workload for each unit of work.
+    fn worth(&self, workload: usize) -> f64 {
+        let importance = self.kinds[workload].importance;
+        if self.figures.by_work { importance } else { importance / self.weight(workload) }
+    }
+
+    /// How much more a job's work is worth than the usual, and how far its customer is from its part.
+    fn claim(&self, call: &Call) -> f64 {
+        let worth = self.worth(call.workload) * self.asked.all(self.now) / self.asked_worth.all(self.now);
+        let (customer, all) = (call.customer as usize, self.finished.all(self.now));
+        let got = self.finished.part(customer, self.now) + 1.0;
+        let part = self.parts.get(customer).map_or(1.0, |part| (part * all + 1.0) / got);
+        let claim = (worth * part).sqrt();
+        if claim.is_finite() { claim.clamp(1.0 / CLAIM_MOST, CLAIM_MOST) } else { 1.0 }
+    }
+
     fn worker(&mut self, name: &str) -> usize {
         let ix = self.worker_names.index(name, self.now);
         while self.workers.len() <= ix {
@@ -537,10 +504,8 @@
         }
         let function = self.functions.index(asked.function, self.now);
         let (weight, now) = (self.weight(workload), self.now);
-        self.began.get_or_insert(now);
-        self.asked.resize(self.asked.len().max(function + 1), Fading::default());
-        self.asked[function].add(weight, now, ASKED_HALF);
-        self.asked_all.add(weight, now, ASKED_HALF);
+        self.asked.add(function, weight, now);
+        self.asked_worth.add(0, self.worth(workload) * weight, now);
         let (give_up, lanes) = (now + asked.left, asked.lanes.unwrap_or(1.0).clamp(1.0, 2.0));
         let job = Job { workload, customer: asked.customer, function, lanes, give_up, ..Job::default() };
         self.jobs.insert(asked.job, job);
@@ -561,9 +526,9 @@
                     Found::Untold => status != Status::NotWarm,
                 };
                 if warm { &mut kind.quick } else { &mut kind.slow }.add(took);
-                let workload = job.workload;
-                self.finished.add(self.weight(workload), now, RATE_HALF);
-                let more = self.finished.per_second(now, RATE_HALF) - self.peak.now(now, SWEEP);
+                let (workload, customer) = (job.workload, job.customer as usize);
+                self.finished.add(customer, self.weight(workload), now);
+                let more = self.finished.per_second(now) - self.peak.now(now, SWEEP);
                 self.peak.add(more.max(0.0), now, SWEEP);
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
@@ -649,11 +614,9 @@
         offers.retain(|o| jobs(o) < bound);
         // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each of
         // them, as many as the function's share of the work needs. One job tells nothing of popularity.
-        let asked = (self.asked[job.function].now(self.now, ASKED_HALF) - call.weight).max(0.0);
-        let share = asked / self.asked_all.now(self.now, ASKED_HALF);
-        let age = self.now.saturating_sub(self.began.unwrap_or_default()).as_secs_f64() + 1.0;
-        let seen = 1.0 - 0.5f64.powf(age / ASKED_HALF.as_secs_f64());
-        let rate = share * self.asked_all.per_second(self.now, ASKED_HALF) / seen * self.figures.schedulers;
+        let asked = (self.asked.part(job.function, self.now) - call.weight).max(0.0);
+        let share = asked / self.asked.all(self.now);
+        let rate = share * self.asked.per_second(self.now) * self.figures.schedulers;
         let most = rate * self.usual() / (HOME_JOBS * job.lanes);
         let homes = 1 + (share * HOMES * offers.len() as f64).min(most) as usize;
         let name = self.functions.name(job.function);
@@ -662,9 +625,10 @@
         for home in offers.iter_mut().take(homes) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
-        if busy > BOUND_ALL {
+        let bound_all = BOUND_ALL * self.claim(&call);
+        if busy > bound_all {
             // Guards against load storms: a job sent to load where all are busy only makes them busier.
-            offers.retain(|o| o.status != Status::NotWarm && jobs(o) < BOUND_ALL);
+            offers.retain(|o| o.status != Status::NotWarm && jobs(o) < bound_all);
         }
         let chance = |o: &Offer| hash(&(self.figures.seed, self.drawn, o.worker));
         let ranked = offers.iter().map(|o| ((o.turned, o.status), jobs(o), chance(o), *o));
--- a/crates/quartzdrift-choice/src/lib.rs
+++ b/crates/quartzdrift-choice/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod interface;
 mod measure;
 mod names;
+mod notes;
 mod post;
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -68,8 +68,41 @@
     pub fn add(&mut self, amount: f64, now: Duration, half: Duration) {
         *self = Fading { sum: self.now(now, half) + amount, at: now };
     }
+}
+
+/// Fading sums of several parts and of them all.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    half: Duration,
+    began: Option<Duration>,
+    all: Fading,
+    parts: Vec<Fading>,
+}
+
+impl Shares {
+    pub fn new(half: Duration) -> Shares {
+        Shares { half, ..Shares::default() }
+    }
+
+    pub fn add(&mut self, part: usize, amount: f64, now: Duration) {
+        self.began.get_or_insert(now);
+        self.all.add(amount, now, self.half);
+        self.parts.resize(self.parts.len().max(part + 1), Fading::default());
+        self.parts[part].add(amount, now, self.half);
+    }
+
+    pub fn part(&self, part: usize, now: Duration) -> f64 {
+        self.parts.get(part).map_or(0.0, |sum| sum.now(now, self.half))
+    }
+
+    pub fn all(&self, now: Duration) -> f64 {
+        self.all.now(now, self.half)
+    }
 
-    pub fn per_second(&self, now: Duration, half: Duration) -> f64 {
-        self.now(now, half) * std::f64::consts::LN_2 / half.as_secs_f64()
+    /// What was added a second, over the time since the first was (a second at least).
+    pub fn per_second(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.began.unwrap_or(now)).as_secs_f64() + 1.0;
+        let seen = 1.0 - 0.5f64.powf(age / self.half.as_secs_f64());
+        self.all(now) * std::f64::consts::LN_2 / self.half.as_secs_f64() / seen
     }
 }
--- /dev/null
+++ b/crates/quartzdrift-choice/src/notes.rs
@@ -0,0 +1,70 @@
+//! What desk and workers tell each other. Types only.
+use crate::choice::Status;
+use crate::interface::*;
+use std::time::Duration;
+
+/// What desk and workers tell each other.
+pub enum Note {
+    Listed(Listing),
+    Call(Call),
+    /// `None`: the worker declines.
+    Offer(Option<Offer>),
+    Execute(Execution),
+    Ended(Ending),
+    Place(JobId),
+    Tick,
+    /// This execution is out at a worker that answers nothing.
+    Silent(JobId, u32),
+}
+
+/// What the list says of a worker; its name is kept apart.
+pub type Listing = Entry<'static>;
+
+/// A call for offers for one job.
+#[derive(Clone, Copy)]
+pub struct Call {
+    pub workload: usize,
+    pub customer: u32,
+    pub function: usize,
+    /// Where executions that may have run confine further ones.
+    pub confined: Option<(Group, Listing)>,
+    /// Restartable with executions left: may be risked on a worker of doubtful health.
+    pub risks: bool,
+    pub weight: f64,
+    /// Our own finished work a second for each worker: the part of a worker's capacity that is surely there.
+    pub fair_rate: f64,
+}
+
+#[derive(Clone, Copy)]
+pub struct Offer {
+    pub worker: usize,
+    pub status: Status,
+    pub others: Option<f64>,
+    pub own: usize,
+    /// Those of our own that wait for no load.
+    pub working: usize,
+    pub ghosts: usize,
+    pub stands: bool,
+    pub ill: bool,
+    pub turned: bool,
+}
+
+#[derive(Clone, Copy)]
+pub struct Execution {
+    pub job: JobId,
+    pub execution: u32,
+    pub call: Call,
+    pub patience: Duration,
+    pub sent: Duration,
+}
+
+pub struct Ending {
+    pub job: JobId,
+    pub execution: u32,
+    pub outcome: Outcome,
+    pub found: Found,
+    /// Jobs that the worker reported to hold.
+    pub held: Option<f64>,
+    /// Full for this customer alone: the worker holds few jobs.
+    pub room: bool,
+}
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Plays every file in `scenarios/`. A line is a setting, an event or an expectation; `#` begins a remark.
 //!
-//!     set effect run-once        effect, group, limit, window, executions, schedulers, customers, keep, fall, told,
-//!                                cancel, report held
+//!     set effect run-once        effect, group, window, executions, schedulers, workloads, importance, customers, keep,
+//!                                fall, told, cancel, report held, discovery ask
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1    form, then workers: state, start, zone
 //!     job 7 f left=1s            a job of function f; `workload=` and `customer=` may follow
@@ -92,7 +92,15 @@
             "window" => workload.window = Some(span(value)?),
             "executions" => s.allowed.max_executions = Some(number(words.get(1))?),
             "schedulers" => s.schedulers = Some(number(words.get(1))?),
-            "customers" => s.customers.resize(number(words.get(1))?, Customer::default()),
+            "customers" => {
+                let customer = Customer { jobs_per_second: Some(10.0), ..Customer::default() };
+                s.customers.resize(number(words.get(1))?, customer);
+            }
+            "importance" => {
+                for (workload, word) in s.workloads.iter_mut().zip(&words[1..]) {
+                    workload.importance = Some(number(Some(word))?);
+                }
+            }
             "workloads" => s.workloads.resize(number(words.get(1))?, s.workloads[0].clone()),
             "keep" => s.copies.keep = Some(span(value)?),
             "fall" => {
