Silent workers: time-outs are a symptom, and trials are few for schedulers that meet a worker rarely

Should also hold against cut networks and frozen machines. Harm: a worker that paused once is unused by small schedulers for seconds.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -33,6 +33,8 @@
 const SHUN_FIRST: Duration = Duration::from_millis(500); // first time apart after a symptom: a few executions
 const SHUNS_MOST: u32 = 3; // doublings of it: then it is as long as a restart takes
 const FULLS_MOST: u32 = 2; // full answers to a job, then the fleet is full
+const SHUN_JOBS: f64 = 2.0; // jobs that we usually send a worker, time apart after silence: trials stay few
+const SHUN_SILENT: Duration = Duration::from_secs(15); // most of it: as long as a machine takes to come back
 const SHUN_FULL: Duration = Duration::from_millis(150); // apart after a full answer: a few jobs end meanwhile
 const ERRORS_ILL: f64 = 0.3; // share of recent executions in error: chance errors are far rarer
 const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
@@ -130,9 +132,9 @@
 }
 
 impl Health {
-    fn shun(&mut self, now: Duration) {
+    fn shun(&mut self, now: Duration, least: Duration) {
         if now >= self.shunned_until {
-            self.shunned_until = now + (SHUN_FIRST * (1 << self.shuns.min(SHUNS_MOST)));
+            self.shunned_until = now + (SHUN_FIRST * (1 << self.shuns.min(SHUNS_MOST))).max(least);
             self.shuns += 1;
         }
     }
@@ -153,6 +155,8 @@
     /// The half window of the cold rule that we are in, and the work sent in it.
     cold_sent: (u64, f64),
     full_until: Duration,
+    /// How long it is set aside at least when it was silent: a trial costs a job all its time.
+    apart: Duration,
     /// Until when a customer is sent elsewhere, since it alone was turned away.
     turned: BTreeMap<u32, Duration>,
     /// By workload, since a worker may fail one kind of job only.
@@ -188,6 +192,7 @@
     }
 
     fn offer(&mut self, call: &Call, now: Duration, figures: &Figures) -> Option<Offer> {
+        self.apart = Duration::from_secs_f64((SHUN_JOBS / call.fair_rate).min(SHUN_SILENT.as_secs_f64()));
         let strange = call.confined.is_some_and(|(group, ran)| !self.listing.shares(group, &ran));
         if self.listing.state != State::Up || strange || !self.cold_room(call, now, figures) {
             return None;
@@ -244,7 +249,8 @@
         if late.any(|out| out.call.function != first.call.function)
             || now - first.sent > first.patience * SILENCE_ONE
         {
-            self.health.values_mut().for_each(|health| health.shun(now));
+            let apart = self.apart;
+            self.health.values_mut().for_each(|health| health.shun(now, apart));
             for out in &self.out {
                 post.put(DESK, Note::Silent(out.job, out.execution));
             }
@@ -276,7 +282,7 @@
                 self.heard = now;
                 health.errors += (1.0 - health.errors) / ERRORS_OVER;
                 if health.errors > ERRORS_ILL || health.shuns > 0 {
-                    health.shun(now);
+                    health.shun(now, Duration::ZERO);
                 }
             }
             Outcome::Full => {
@@ -292,15 +298,26 @@
                 // Guards against a process that is down: it comes back empty and cold before the list tells.
                 self.marks.clear();
                 self.cold_since = Some(now);
-                self.health.values_mut().for_each(|health| health.shun(now));
+                self.health.values_mut().for_each(|health| health.shun(now, Duration::ZERO));
             }
             Outcome::Miss => *mark = Mark::default(),
-            // Guards against estimates that fall when jobs are given up: a worker may go on unseen.
-            // Reports of what it holds would tell.
-            Outcome::Cancelled | Outcome::TimedOut if !figures.counts => {
-                self.ghosts.push(now + execution.patience)
+            Outcome::Cancelled | Outcome::TimedOut => {
+                // Guards against workers that answer nothing, met too rarely to be seen silent: time was up after
+                // longer than nearly all take, and nothing was heard since. Clients in a hurry prove nothing.
+                let waited = (now - execution.sent).mul_f64(PATIENCE);
+                if ending.outcome == Outcome::TimedOut
+                    && self.heard < execution.sent
+                    && waited > execution.patience
+                {
+                    health.shun(now, self.apart);
+                }
+                // Guards against estimates that fall when jobs are given up: a worker may go on unseen.
+                // Reports of what it holds would tell.
+                if !figures.counts {
+                    self.ghosts.push(now + execution.patience);
+                }
             }
-            Outcome::Cancelled | Outcome::TimedOut | Outcome::Moot => {}
+            Outcome::Moot => {}
         }
     }
 }
