Kinds of machine measured as faster come first more often in the common order

The list names kinds, and what a kind takes is measured by each scheduler with some dozens of jobs. Fading sums by part are kept in a map, so that an odd number of a kind or customer cannot claim memory.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -155,7 +155,7 @@
     /// The half window of the cold rule that we are in, and the work sent in it.
     cold_sent: (u64, f64),
     full_until: Duration,
-    /// How long it is set aside at least when it was silent: a trial costs a job all its time.
+    /// Time apart at least after silence: a trial costs a job all its time.
     apart: Duration,
     /// Until when a customer is sent elsewhere, since it alone was turned away.
     turned: BTreeMap<u32, Duration>,
@@ -249,8 +249,7 @@
         if late.any(|out| out.call.function != first.call.function)
             || now - first.sent > first.patience * SILENCE_ONE
         {
-            let apart = self.apart;
-            self.health.values_mut().for_each(|health| health.shun(now, apart));
+            self.health.values_mut().for_each(|health| health.shun(now, self.apart));
             for out in &self.out {
                 post.put(DESK, Note::Silent(out.job, out.execution));
             }
@@ -302,17 +301,13 @@
             }
             Outcome::Miss => *mark = Mark::default(),
             Outcome::Cancelled | Outcome::TimedOut => {
-                // Guards against workers that answer nothing, met too rarely to be seen silent: time was up after
-                // longer than nearly all take, and nothing was heard since. Clients in a hurry prove nothing.
-                let waited = (now - execution.sent).mul_f64(PATIENCE);
-                if ending.outcome == Outcome::TimedOut
-                    && self.heard < execution.sent
-                    && waited > execution.patience
-                {
+                // Guards against silent workers that are met rarely: time was up after longer than nearly all take
+                // and nothing was heard since. Clients in a hurry prove nothing.
+                let waited = (now - execution.sent).mul_f64(PATIENCE) > execution.patience;
+                if ending.outcome == Outcome::TimedOut && self.heard < execution.sent && waited {
                     health.shun(now, self.apart);
                 }
-                // Guards against estimates that fall when jobs are given up: a worker may go on unseen.
-                // Reports of what it holds would tell.
+                // Guards against estimates that fall when jobs are given up, where no report tells what goes on.
                 if !figures.counts {
                     self.ghosts.push(now + execution.patience);
                 }
@@ -353,6 +348,9 @@
     finished: Shares,
     asked: Shares,
     asked_worth: Shares,
+    /// By kind of machine: executions that found a copy, and their times against their workload's mean.
+    done: Shares,
+    took: Shares,
     /// The most finished a second and the most workers up: what workers can surely do, also in a jam.
     peak: Fading,
     most_listed: usize,
@@ -412,6 +410,8 @@
             finished: Shares::new(RATE_HALF),
             asked: Shares::new(ASKED_HALF),
             asked_worth: Shares::new(ASKED_HALF),
+            done: Shares::new(ASKED_HALF),
+            took: Shares::new(ASKED_HALF),
             ..Scheduler::default()
         }
     }
@@ -486,6 +486,12 @@
         if claim.is_finite() { claim.clamp(1.0 / CLAIM_MOST, CLAIM_MOST) } else { 1.0 }
     }
 
+    /// How fast the kind of a worker's machine is against the mean of all, as far as we have seen.
+    fn pace(&self, worker: usize) -> f64 {
+        let (kind, prior) = (self.workers[worker].listing.kind as usize, f64::from(ENOUGH));
+        (self.done.part(kind, self.now) + prior) / (self.took.part(kind, self.now) + prior)
+    }
+
     fn worker(&mut self, name: &str) -> usize {
         let ix = self.worker_names.index(name, self.now);
         while self.workers.len() <= ix {
@@ -543,6 +549,11 @@
                     Found::Untold => status != Status::NotWarm,
                 };
                 if warm { &mut kind.quick } else { &mut kind.slow }.add(took);
+                if let Some(mean) = kind.quick.mean().filter(|mean| warm && !mean.is_zero()) {
+                    let machine = self.workers[worker].listing.kind as usize;
+                    self.done.add(machine, 1.0, now);
+                    self.took.add(machine, took.as_secs_f64() / mean.as_secs_f64(), now);
+                }
                 let (workload, customer) = (job.workload, job.customer as usize);
                 self.finished.add(customer, self.weight(workload), now);
                 let more = self.finished.per_second(now) - self.peak.now(now, SWEEP);
@@ -637,8 +648,12 @@
         let most = rate * self.usual() / (HOME_JOBS * job.lanes);
         let homes = 1 + (share * HOMES * offers.len() as f64).min(most) as usize;
         let name = self.functions.name(job.function);
-        let order = |o: &Offer| hash(&(&name, self.workers[o.worker].home));
-        offers.sort_by_cached_key(|o| (o.turned, order(o)));
+        // Faster kinds of machine come first more often, by as much as they are faster.
+        let order = |o: &Offer| {
+            let drawn = hash(&(&name, self.workers[o.worker].home)) as f64 / u64::MAX as f64;
+            (drawn.powf(1.0 / self.pace(o.worker)) * u64::MAX as f64) as u64
+        };
+        offers.sort_by_cached_key(|o| (o.turned, std::cmp::Reverse(order(o))));
         for home in offers.iter_mut().take(homes) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
@@ -648,7 +663,8 @@
             offers.retain(|o| o.status != Status::NotWarm && jobs(o) < bound_all);
         }
         let chance = |o: &Offer| hash(&(self.figures.seed, self.drawn, o.worker));
-        let ranked = offers.iter().map(|o| ((o.turned, o.status), jobs(o), chance(o), *o));
+        let load = |o: &Offer| (jobs(o) + 1.0) / self.pace(o.worker);
+        let ranked = offers.iter().map(|o| ((o.turned, o.status), load(o), chance(o), *o));
         let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         self.drawn += 1;
         match best {
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -1,5 +1,6 @@
 //! Measurements that forget: a histogram of times in coarse bins and a sum that fades. How coarse and how
 //! fast is for the decision module to say.
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Bins grow by a constant ratio from the first one's edge; counts are halved when they reach a limit.
@@ -76,7 +77,7 @@
     half: Duration,
     began: Option<Duration>,
     all: Fading,
-    parts: Vec<Fading>,
+    parts: BTreeMap<usize, Fading>,
 }
 
 impl Shares {
@@ -87,12 +88,11 @@
     pub fn add(&mut self, part: usize, amount: f64, now: Duration) {
         self.began.get_or_insert(now);
         self.all.add(amount, now, self.half);
-        self.parts.resize(self.parts.len().max(part + 1), Fading::default());
-        self.parts[part].add(amount, now, self.half);
+        self.parts.entry(part).or_default().add(amount, now, self.half);
     }
 
     pub fn part(&self, part: usize, now: Duration) -> f64 {
-        self.parts.get(part).map_or(0.0, |sum| sum.now(now, self.half))
+        self.parts.get(&part).map_or(0.0, |sum| sum.now(now, self.half))
     }
 
     pub fn all(&self, now: Duration) -> f64 {
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -3,10 +3,10 @@
 //!     set effect run-once        effect, group, window, executions, schedulers, workloads, importance, customers, keep,
 //!                                fall, told, cancel, report held, discovery ask
 //!     at 100ms                   time of what follows
-//!     list full a b:draining c^2s d@1    form, then workers: state, start, zone
+//!     list full a b:draining c^2s d@1*2  form, then workers: state, start, zone, kind of machine
 //!     job 7 f left=1s            a job of function f; `workload=` and `customer=` may follow
 //!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the other, each
-//!                                finished at once where it was sent
+//!                                finished at once where it was sent, in 300 ms on the kind named by `slow=`
 //!     end 7 finished warm        how its execution ended; `over`, `took=`, `held=` may follow
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
@@ -30,6 +30,7 @@
     out: BTreeMap<JobId, (String, u32)>,
     executions: BTreeMap<JobId, u32>,
     sends: BTreeMap<String, u32>,
+    kinds: BTreeMap<String, String>,
 }
 
 fn span(text: &str) -> Result<Duration, String> {
@@ -48,16 +49,17 @@
 
 fn entry(text: &str) -> Result<Entry<'_>, String> {
     let mut entry = Entry { state: State::Up, ..Entry::default() };
-    let end = text.find([':', '^', '@']).unwrap_or(text.len());
+    let end = text.find([':', '^', '@', '*']).unwrap_or(text.len());
     entry.worker = &text[..end];
     let mut rest = &text[end..];
     while let Some(sign) = rest.chars().next() {
-        let end = rest[1..].find([':', '^', '@']).map_or(rest.len(), |at| at + 1);
+        let end = rest[1..].find([':', '^', '@', '*']).map_or(rest.len(), |at| at + 1);
         let value = &rest[1..end];
         match (sign, value) {
             (':', "draining") => entry.state = State::Draining,
             (':', "gone") => entry.state = State::Gone,
             ('^', _) => entry.started = Some(span(value)?),
+            ('*', _) => entry.kind = number(Some(&value))?,
             ('@', _) => entry.zone = number(Some(&value))?,
             _ => return Err(format!("no worker: {text}")),
         }
@@ -190,7 +192,8 @@
                     Some(&"failed") => ListForm::Failed,
                     other => return Err(format!("no form of list: {other:?}")),
                 };
-                let entries = words[2..].iter().map(|w| entry(w)).collect::<Result<_, _>>()?;
+                let entries = words[2..].iter().map(|w| entry(w)).collect::<Result<Vec<_>, _>>()?;
+                self.kinds.extend(entries.iter().map(|e| (e.worker.to_owned(), e.kind.to_string())));
                 self.give(Event::List { form, entries });
             }
             "job" => {
@@ -205,7 +208,9 @@
                     self.now += every.unwrap_or_default();
                     self.job(job, function, words)?;
                     if every.is_some() && self.out.contains_key(&job) {
-                        self.end(job, &["finished"])?;
+                        let slow = self.kinds.get(&self.out[&job].0)
+                            == value_of(words, "slow").map(String::from).as_ref();
+                        self.end(job, if slow { &["finished", "took=300ms"] } else { &["finished"] })?;
                     }
                 }
             }
