--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -393,7 +393,7 @@
             max_executions: allowed.max_executions.unwrap_or(1),
             cancel: allowed.cancel,
             asks: settings.discovery == Discovery::Ask,
-            schedulers: f64::from(settings.schedulers.unwrap_or(1)),
+            schedulers: f64::from(settings.schedulers.unwrap_or(1).max(1)),
             retry_after: allowed.retry_after.then_some(allowed.max_retry_after.unwrap_or(COME_BACK)),
             held_field: counted.or(field(ReportField::Busy)),
             counts: counted.is_some(),
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -63,7 +63,7 @@
 
 impl Fading {
     pub fn now(&self, now: Duration, half: Duration) -> f64 {
-        self.sum * 0.5f64.powf(now.saturating_sub(self.at).as_secs_f64() / half.as_secs_f64())
+        self.sum * (-now.saturating_sub(self.at).as_secs_f64() / half.as_secs_f64()).exp2()
     }
 
     pub fn add(&mut self, amount: f64, now: Duration, half: Duration) {
@@ -102,7 +102,7 @@
     /// What was added a second, over the time since the first was (a second at least).
     pub fn per_second(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.began.unwrap_or(now)).as_secs_f64() + 1.0;
-        let seen = 1.0 - 0.5f64.powf(age / self.half.as_secs_f64());
+        let seen = 1.0 - (-age / self.half.as_secs_f64()).exp2();
         self.all(now) * std::f64::consts::LN_2 / self.half.as_secs_f64() / seen
     }
 }
