--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -40,7 +40,7 @@
 const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
 const ILL_MOST: f64 = 0.4; // share of workers set aside as ill: with more, the trouble is not a worker's own
 const REPORT_AGED: Duration = Duration::from_secs(6); // age of a report that is dropped: several refreshes
-const COLD_SAFETY: f64 = 0.7; // share of the cold rule's budget that is used: three half windows make one full one
+const COLD_SAFETY: f64 = 0.7; // share of the cold rule's budget in use: three half windows make one whole
 const USELESS: Duration = Duration::from_millis(30); // time left of no use: below almost any work
 const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
 const COME_BACK_PART: f64 = 0.3; // of a usual execution: many run, one of them ends well before
@@ -301,13 +301,13 @@
             }
             Outcome::Miss => *mark = Mark::default(),
             Outcome::Cancelled | Outcome::TimedOut => {
-                // Guards against silent workers that are met rarely: time was up after longer than nearly all take
-                // and nothing was heard since. Clients in a hurry prove nothing.
+                // Guards against silent workers that are met rarely: time was up after longer than nearly all
+                // take and nothing was heard since. Clients in a hurry prove nothing.
                 let waited = (now - execution.sent).mul_f64(PATIENCE) > execution.patience;
                 if ending.outcome == Outcome::TimedOut && self.heard < execution.sent && waited {
                     health.shun(now, self.apart);
                 }
-                // Guards against estimates that fall when jobs are given up, where no report tells what goes on.
+                // Guards against estimates that fall when jobs are given up, where no report tells the truth.
                 if !figures.counts {
                     self.ghosts.push(now + execution.patience);
                 }
@@ -640,8 +640,8 @@
         let busy = if self.figures.counts { mean * working as f64 / own.max(1) as f64 } else { mean };
         let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
         offers.retain(|o| jobs(o) < bound);
-        // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each of
-        // them, as many as the function's share of the work needs. One job tells nothing of popularity.
+        // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each
+        // of them, as many as the function's share of the work needs. One job tells nothing of popularity.
         let asked = (self.asked.part(job.function, self.now) - call.weight).max(0.0);
         let share = asked / self.asked.all(self.now);
         let rate = share * self.asked.per_second(self.now) * self.figures.schedulers;
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -1,12 +1,12 @@
 //! Plays every file in `scenarios/`. A line is a setting, an event or an expectation; `#` begins a remark.
 //!
-//!     set effect run-once        effect, group, window, executions, schedulers, workloads, importance, customers, keep,
-//!                                fall, told, cancel, report held, discovery ask
+//!     set effect run-once        effect, group, window, executions, schedulers, workloads, importance,
+//!                                customers, keep, fall, told, cancel, report held, discovery ask
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1*2  form, then workers: state, start, zone, kind of machine
 //!     job 7 f left=1s            a job of function f; `workload=` and `customer=` may follow
-//!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the other, each
-//!                                finished at once where it was sent, in 300 ms on the kind named by `slow=`
+//!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the
+//!                                other, each finished at once, in 300 ms on the kind named by `slow=`
 //!     end 7 finished warm        how its execution ended; `over`, `took=`, `held=` may follow
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
@@ -229,7 +229,10 @@
                     (Some(&"not"), Some(name)) => worker != *name,
                     _ => true,
                 };
-                let sent = |a: &Action| matches!(a, Action::Execute { job, worker, .. } if *job == wanted && fits(worker));
+                let sent = |a: &Action| match a {
+                    Action::Execute { job, worker, .. } => *job == wanted && fits(worker),
+                    _ => false,
+                };
                 self.expect(&words.join(" "), sent)?;
             }
             "pushed-back" => {
