Workers that have gone are not called for offers and are forgotten after ten minutes

Need: with 30 workers up and 10,000 replaced ones behind it, a decision cost 70 times what it did at the start, since workers that were gone stayed in every call for offers and were never forgotten. Also, a job out for longer than a function's name was kept had its function's place given to another function.

Change: only listed workers are called; those gone for ten minutes and named by no open job give up their places; functions of open jobs and of executions that are out keep theirs.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -10,7 +10,7 @@
 use crate::names::{Names, hash};
 use crate::notes::*;
 use crate::post::Post;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 // Constants, each with its unit and the reason for its size.
@@ -50,6 +50,7 @@
 const HOME_JOBS: f64 = 0.5; // of a copy's lanes, jobs of one function in progress at a home: half are free
 const ASKED_HALF: Duration = Duration::from_secs(15); // in which a function's popularity forgets half
 const SWEEP: Duration = Duration::from_secs(60); // between sweeps of old marks and names: many keep-alives
+const FORGET: Duration = Duration::from_secs(600); // after it left: no list brings a worker back later
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -145,6 +146,8 @@
     ix: usize,
     home: u64,
     listing: Listing,
+    /// Since when the list does not name it.
+    gone_since: Duration,
     marks: BTreeMap<usize, Mark>,
     out: Vec<Execution>,
     /// Executions given up that may still be worked on, until when.
@@ -166,7 +169,7 @@
 impl Worker {
     fn take(&mut self, note: Note, now: Duration, figures: &Figures, post: &mut Post<Note>) {
         match note {
-            Note::Listed(listing) => self.listed(listing),
+            Note::Listed(listing) => self.listed(listing, now),
             Note::Call(call) => post.put(DESK, Note::Offer(self.offer(&call, now, figures))),
             Note::Execute(execution) => {
                 let mark = self.marks.entry(execution.call.function).or_default();
@@ -181,7 +184,10 @@
         }
     }
 
-    fn listed(&mut self, listing: Listing) {
+    fn listed(&mut self, listing: Listing, now: Duration) {
+        if listing.state == State::Gone && self.listing.state != State::Gone {
+            self.gone_since = now;
+        }
         if listing.started > self.listing.started {
             // A new process: it is empty, and the old one's failings are not its own.
             self.cold_since = listing.started;
@@ -358,6 +364,10 @@
     parts: Vec<f64>,
     drawn: u64,
     workers: Vec<Worker>,
+    /// Those that the list names, who are called for offers; the others could only decline, and a fleet that
+    /// is replaced leaves ever more of them.
+    listed: Vec<usize>,
+    relist: bool,
     worker_names: Names,
     functions: Names,
     post: Post<Note>,
@@ -423,7 +433,11 @@
             self.swept = self.now;
             let fresh = |mark: &Mark| mark.known.max(mark.assumed) > self.now;
             self.workers.iter_mut().for_each(|worker| worker.marks.retain(|_, mark| fresh(mark)));
-            self.functions.forget_before(self.now.saturating_sub(SWEEP + self.figures.keep * 2));
+            // What is out may be out for longer than an idle name is kept.
+            let out = self.workers.iter().flat_map(|worker| &worker.out).map(|out| out.call.function);
+            let in_use: BTreeSet<usize> = self.jobs.values().map(|job| job.function).chain(out).collect();
+            self.functions.forget_before(self.now.saturating_sub(SWEEP + self.figures.keep * 2), &in_use);
+            self.forget_gone();
         }
         match event {
             Event::List { form, entries } => self.list(form, &entries),
@@ -441,7 +455,8 @@
             }
             Event::Expired { job } => drop(self.jobs.remove(&job)),
             Event::Timer { .. } => {
-                (0..self.workers.len()).for_each(|ix| self.post.put(ix + 1, Note::Tick));
+                let ticks = |w: &&Worker| w.listing.state != State::Gone || !w.out.is_empty();
+                self.workers.iter().filter(ticks).for_each(|w| self.post.put(w.ix + 1, Note::Tick));
                 self.actions.push(Action::Timer { delay: TICK, mark: "tick" });
                 if self.watch_at.take_if(|at| *at <= self.now).is_some() {
                     self.actions.push(Action::Watch { on: true });
@@ -458,6 +473,27 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Places kept for workers and for functions, and jobs open: what its memory grows with.
+    pub fn places(&self) -> (usize, usize, usize) {
+        (self.worker_names.len(), self.functions.len(), self.jobs.len())
+    }
+
+    /// Gives up the places of workers that left long ago, unless a job still names them.
+    fn forget_gone(&mut self) {
+        let named = self.jobs.values().flat_map(|job| &job.tried).copied();
+        let keep: BTreeSet<usize> = named.collect();
+        let (workers, oldest) = (&mut self.workers, self.now.saturating_sub(FORGET + self.figures.cold_for));
+        self.worker_names.forget(|ix| {
+            let worker = &workers[ix];
+            let gone = worker.listing.state == State::Gone && worker.gone_since < oldest;
+            let forgets = gone && worker.out.is_empty() && !keep.contains(&ix);
+            if forgets {
+                workers[ix] = Worker { ix, ..Worker::default() };
+            }
+            forgets
+        });
+    }
+
     /// The work of a job of this workload against the usual one; a crowd that slows all changes no weight.
     fn weight(&self, workload: usize) -> f64 {
         self.kinds[workload].quick.mean().map_or(1.0, |mean| mean.as_secs_f64() / self.usual())
@@ -495,7 +531,10 @@
     fn worker(&mut self, name: &str) -> usize {
         let ix = self.worker_names.index(name, self.now);
         while self.workers.len() <= ix {
-            self.workers.push(Worker { ix: self.workers.len(), home: hash(&name), ..Worker::default() });
+            self.workers.push(Worker { ix: self.workers.len(), ..Worker::default() });
+        }
+        if self.workers[ix].home == 0 {
+            self.workers[ix].home = hash(&name);
         }
         ix
     }
@@ -513,6 +552,7 @@
                 self.post.put(worker.ix + 1, Note::Listed(Entry { state: State::Gone, ..worker.listing }));
             }
         }
+        self.relist = true;
         for entry in entries {
             let ix = self.worker(entry.worker);
             self.post.put(ix + 1, Note::Listed(Entry { worker: "", ..*entry }));
@@ -594,12 +634,17 @@
             Effect::RunOnce => false,
         });
         let spent = job.executions >= self.figures.max_executions || job.fulls >= FULLS_MOST;
-        if !may_send || spent || job.give_up < self.now + USELESS || self.workers.is_empty() {
+        if std::mem::take(&mut self.relist) {
+            let listed = |worker: &&Worker| worker.listing.state != State::Gone;
+            self.listed = self.workers.iter().filter(listed).map(|worker| worker.ix).collect();
+        }
+        if !may_send || spent || job.give_up < self.now + USELESS || self.listed.is_empty() {
             return self.conclude(id);
         }
         let ran = job.may_have_run.filter(|_| kind.effect == Effect::Fingerprinted);
         let confined = ran.map(|(worker, _)| (kind.group, self.workers[worker].listing));
-        let listed = self.workers.iter().filter(|w| w.listing.state == State::Up).count().max(1);
+        let up = |ix: &&usize| self.workers[**ix].listing.state == State::Up;
+        let listed = self.listed.iter().filter(up).count().max(1);
         self.most_listed = self.most_listed.max(listed);
         let fair_rate = self.peak.now(self.now, SWEEP) / self.most_listed as f64;
         let &Job { workload, customer, function, .. } = job;
@@ -607,8 +652,8 @@
         let call = Call { workload, customer, function, confined, risks, weight, fair_rate };
         self.offers.clear();
         self.calling = Some((id, call));
-        self.waiting = self.workers.len();
-        (0..self.workers.len()).for_each(|ix| self.post.put(ix + 1, Note::Call(call)));
+        self.waiting = self.listed.len();
+        self.listed.iter().for_each(|ix| self.post.put(ix + 1, Note::Call(call)));
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
--- a/crates/quartzdrift-choice/src/names.rs
+++ b/crates/quartzdrift-choice/src/names.rs
@@ -1,5 +1,5 @@
 //! Names at the door: each becomes a small index, and the index of one not met for long is used again.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,18 +28,29 @@
         ix
     }
 
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
     pub fn name(&self, ix: usize) -> Rc<str> {
         self.names[ix].0.clone()
     }
 
-    pub fn forget_before(&mut self, oldest: Duration) {
-        let (names, free) = (&self.names, &mut self.free);
+    /// Forgets the names not met since `oldest`, but for those in use.
+    pub fn forget_before(&mut self, oldest: Duration, in_use: &BTreeSet<usize>) {
+        let met: Vec<Duration> = self.names.iter().map(|(_, at)| *at).collect();
+        self.forget(|ix| met[ix] < oldest && !in_use.contains(&ix));
+    }
+
+    /// Forgets the names whose index `forgets` says to; they may be given to others.
+    pub fn forget(&mut self, mut forgets: impl FnMut(usize) -> bool) {
+        let free = &mut self.free;
         self.index.retain(|_, &mut ix| {
-            let keep = names[ix].1 >= oldest;
-            if !keep {
+            let forgotten = forgets(ix);
+            if forgotten {
                 free.push(ix);
             }
-            keep
+            !forgotten
         });
     }
 }
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -11,6 +11,8 @@
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
 //!     sent 7 to a                expected among the actions since: also `not a`, or neither
+//!     replace 10000 30 every=1s  a list of 30 workers, of which one is replaced every second, 10000 times
+//!     places-most workers 630    kept, of workers, functions or jobs; also places-least
 //!     pushed-back 7, killed 7, cancelled 7, watched, quiet, sent-most a 5, sent-least a 5,
 //!     forget                     drops the actions since
 use quartzdrift_choice::choice::Scheduler;
@@ -248,6 +250,31 @@
                 self.expect("cancel", |a| matches!(a, Action::Cancel { job, .. } if *job == wanted))?;
             }
             "watched" => self.expect("watch", |a| *a == Action::Watch { on: true })?,
+            "replace" => {
+                let (count, up): (usize, usize) = (number(words.get(1))?, number(words.get(2))?);
+                let every = span(value_of(words, "every").unwrap_or("1s"))?;
+                for n in 0..count {
+                    self.now += every;
+                    let (new, old) = (format!("r{n}"), format!("r{}", n.wrapping_sub(up)));
+                    let entry = |worker, state| Entry { worker, state, ..Entry::default() };
+                    let entries = vec![entry(&new, State::Up), entry(&old, State::Gone)];
+                    self.give(Event::List { form: ListForm::Changes, entries });
+                    self.job(1_000_000 + n as JobId, "f", &[])?;
+                    self.end(1_000_000 + n as JobId, &["finished"])?;
+                }
+            }
+            "places-most" | "places-least" => {
+                let (workers, functions, jobs) = self.scheduler.as_ref().map(|s| s.places()).unwrap_or_default();
+                let kept = match words.get(1) {
+                    Some(&"workers") => workers,
+                    Some(&"functions") => functions,
+                    _ => jobs,
+                };
+                let bound: usize = number(words.get(2))?;
+                if if words[0] == "places-most" { kept > bound } else { kept < bound } {
+                    return Err(format!("{kept} places are kept"));
+                }
+            }
             "forget" => self.pending.clear(),
             "quiet" => {
                 self.pending.retain(|a| !matches!(a, Action::Timer { .. }));
