--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -264,7 +264,8 @@
                 }
             }
             "places-most" | "places-least" => {
-                let (workers, functions, jobs) = self.scheduler.as_ref().map(|s| s.places()).unwrap_or_default();
+                let (workers, functions, jobs) =
+                    self.scheduler.as_ref().map(|s| s.places()).unwrap_or_default();
                 let kept = match words.get(1) {
                     Some(&"workers") => workers,
                     Some(&"functions") => functions,
--- /dev/null
+++ b/crates/quartzdrift-deferred/src/queue.rs
@@ -0,0 +1,391 @@
+use crate::store::Store;
+use quartzdrift_choice::interface::Effect;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Destinations in a row, each called by the one before, at most: a circle of them ends.
+const HOPS_MOST: u32 = 4;
+/// Doublings of the wait after a push-back: from then on it is the longest one.
+const DOUBLINGS_MOST: u32 = 16;
+/// Bytes that one job takes beside its payload: names, marks and its places in the tables.
+const OVERHEAD: usize = 512;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
+/// Where the record of a job that is over goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Destination {
+    Function(String),
+    Url(String),
+}
+
+/// How often and how long.
+#[derive(Clone, Debug)]
+pub struct Waits {
+    /// Tries that ran, at most, the first included.
+    pub tries: u32,
+    /// Wait before the second try; doubles with each further one, up to `longest`.
+    pub first: Duration,
+    pub longest: Duration,
+    /// From its taking to its last try.
+    pub greatest_age: Duration,
+    /// Jobs and bytes held at most.
+    pub jobs: usize,
+    pub bytes: usize,
+    /// Tries out at the desk at a time.
+    pub out: usize,
+}
+
+/// A job as it was taken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Submitted {
+    pub function: String,
+    pub customer: u32,
+    pub effect: Effect,
+    /// For how long workers know a repeat of a fingerprinted job.
+    pub window: Duration,
+    pub payload: Rc<[u8]>,
+    pub context: Option<String>,
+    pub mark: Option<String>,
+    pub on_success: Option<Destination>,
+    pub on_failure: Option<Destination>,
+    /// The timer whose firing this is.
+    pub timer: Option<String>,
+    /// Destinations that led here.
+    pub hops: u32,
+}
+
+/// The final answer of a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Finished { function_error: bool },
+    PushedBack { come_back: Option<Duration>, ran: Option<Duration> },
+    Killed,
+}
+
+/// A job that is over, for its destination.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Calls {
+    pub id: Id,
+    pub job: Submitted,
+    pub tries: u32,
+    pub to: Option<Destination>,
+    /// In the words of the published record.
+    pub condition: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Tried again then.
+    Again {
+        at: Duration,
+    },
+    Over(Box<Calls>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    Jobs,
+    Bytes,
+}
+
+#[derive(Debug)]
+struct Held {
+    job: Submitted,
+    taken: Duration,
+    due: Duration,
+    tries: u32,
+    push_backs: u32,
+    out: bool,
+    /// A fingerprinted job that may have run is tried only until then.
+    confined: Option<Duration>,
+}
+
+pub struct Queue<S: Store> {
+    waits: Waits,
+    store: S,
+    held: BTreeMap<Id, Held>,
+    due: BTreeSet<(Duration, Id)>,
+    bytes: usize,
+    out: usize,
+    drawn: u64,
+    chance: StdRng,
+}
+
+impl<S: Store> Queue<S> {
+    pub fn new(waits: Waits, store: S, seed: u64) -> Queue<S> {
+        Queue {
+            waits,
+            store,
+            held: BTreeMap::new(),
+            due: BTreeSet::new(),
+            bytes: 0,
+            out: 0,
+            drawn: 0,
+            chance: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes a job, due at once.
+    pub fn submit(&mut self, now: Duration, job: Submitted) -> Result<Id, Refused> {
+        let size = job.payload.len() + OVERHEAD;
+        if self.held.len() >= self.waits.jobs {
+            return Err(Refused::Jobs);
+        }
+        if self.bytes + size > self.waits.bytes {
+            return Err(Refused::Bytes);
+        }
+        self.drawn += 1;
+        let id = Id(self.drawn);
+        self.store.taken(id, now, &job);
+        self.bytes += size;
+        self.due.insert((now, id));
+        let held = Held { job, taken: now, due: now, tries: 0, push_backs: 0, out: false, confined: None };
+        self.held.insert(id, held);
+        Ok(id)
+    }
+
+    /// When [`Queue::take_due`] has something to say.
+    pub fn next_due(&self) -> Option<Duration> {
+        let room = self.out < self.waits.out;
+        self.due.first().map(|(at, _)| *at).filter(|_| room)
+    }
+
+    /// A job whose time has come, to be tried now: its id, the job, how often it was tried, and what remains of
+    /// the time in which it may be sent, where that is bounded.
+    pub fn take_due(&mut self, now: Duration) -> Option<(Id, Submitted, u32, Option<Duration>)> {
+        if self.out >= self.waits.out {
+            return None;
+        }
+        let &(at, id) = self.due.first().filter(|(at, _)| *at <= now)?;
+        self.due.remove(&(at, id));
+        let held = self.held.get_mut(&id)?;
+        held.out = true;
+        held.tries += 1;
+        self.out += 1;
+        self.store.out(id, held.tries);
+        let left = held.confined.map(|until| until.saturating_sub(now));
+        Some((id, held.job.clone(), held.tries, left))
+    }
+
+    /// A try has had its final answer.
+    pub fn ended(&mut self, now: Duration, id: Id, end: End) -> Option<Step> {
+        let held = self.held.get_mut(&id).filter(|held| held.out)?;
+        held.out = false;
+        self.out -= 1;
+        let restartable = held.job.effect == Effect::Restartable;
+        let left = held.tries < self.waits.tries;
+        let wait = match end {
+            End::Finished { function_error: false } => return self.over(id, true, "Success"),
+            End::Finished { function_error: true } | End::Killed if restartable && left => {
+                let wait = self.waits.first * (1 << (held.tries - 1).min(DOUBLINGS_MOST));
+                // Half of it by chance: jobs that failed together do not come back together.
+                let wait = wait.min(self.waits.longest);
+                wait / 2 + (wait / 2).mul_f64(self.chance.random_range(0.0..1.0))
+            }
+            End::Finished { .. } | End::Killed => return self.over(id, false, "RetriesExhausted"),
+            End::PushedBack { come_back, ran } => {
+                // It did not run, or running again is harmless: only its age counts.
+                held.tries -= 1;
+                held.push_backs += 1;
+                if held.job.effect == Effect::Fingerprinted
+                    && let Some(ran) = ran
+                {
+                    let until = ran + held.job.window;
+                    held.confined = Some(held.confined.map_or(until, |before| before.min(until)));
+                }
+                let told = come_back.unwrap_or_default();
+                let spread = self.waits.first * (1 << held.push_backs.min(DOUBLINGS_MOST));
+                // Full jitter (M. Brooker, "Exponential backoff and jitter"), never sooner than told.
+                told + spread.min(self.waits.longest).mul_f64(self.chance.random_range(0.0..1.0))
+            }
+        };
+        let at = now + wait;
+        let held = self.held.get_mut(&id)?;
+        if at > held.taken + self.waits.greatest_age {
+            return self.over(id, false, "EventAgeExceeded");
+        }
+        if held.confined.is_some_and(|until| at >= until) {
+            return self.over(id, false, "RetriesExhausted");
+        }
+        held.due = at;
+        self.due.insert((at, id));
+        self.store.waits(id, at, held.tries, held.confined);
+        Some(Step::Again { at })
+    }
+
+    /// What is left, without a final answer; for the last word of a process that stops.
+    pub fn left(&self) -> impl Iterator<Item = (Id, &Submitted, bool)> {
+        self.held.iter().map(|(id, held)| (*id, &held.job, held.out))
+    }
+
+    fn over(&mut self, id: Id, success: bool, condition: &'static str) -> Option<Step> {
+        let held = self.held.remove(&id)?;
+        self.due.remove(&(held.due, id));
+        self.bytes -= held.job.payload.len() + OVERHEAD;
+        self.store.over(id);
+        let to = match success {
+            true => held.job.on_success.clone(),
+            false => held.job.on_failure.clone(),
+        };
+        let to = to.filter(|_| held.job.hops < HOPS_MOST);
+        Some(Step::Over(Box::new(Calls { id, tries: held.tries, to, condition, job: held.job })))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Memory;
+    use proptest::prelude::*;
+
+    fn waits() -> Waits {
+        Waits {
+            tries: 3,
+            first: Duration::from_secs(1),
+            longest: Duration::from_secs(60),
+            greatest_age: Duration::from_secs(600),
+            jobs: 10,
+            bytes: 10_000,
+            out: 2,
+        }
+    }
+
+    fn job(effect: Effect) -> Submitted {
+        Submitted {
+            function: "f".into(),
+            customer: 0,
+            effect,
+            window: Duration::from_secs(5),
+            payload: Rc::from(&b"{}"[..]),
+            context: None,
+            mark: None,
+            on_success: None,
+            on_failure: Some(Destination::Function("dead".into())),
+            timer: None,
+            hops: 0,
+        }
+    }
+
+    fn queue() -> Queue<Memory> {
+        Queue::new(waits(), Memory, 1)
+    }
+
+    fn condition(step: Option<Step>) -> &'static str {
+        match step {
+            Some(Step::Over(calls)) => calls.condition,
+            Some(Step::Again { .. }) => "again",
+            None => "none",
+        }
+    }
+
+    #[test]
+    fn what_may_have_run_is_tried_again_by_its_workload_only() {
+        let error = End::Finished { function_error: true };
+        for (effect, end, expected) in [
+            (Effect::Restartable, error, "again"),
+            (Effect::Restartable, End::Killed, "again"),
+            (Effect::Fingerprinted, error, "RetriesExhausted"),
+            (Effect::RunOnce, error, "RetriesExhausted"),
+            (Effect::RunOnce, End::Killed, "RetriesExhausted"),
+            (Effect::RunOnce, End::PushedBack { come_back: None, ran: None }, "again"),
+            (Effect::RunOnce, End::Finished { function_error: false }, "Success"),
+        ] {
+            let mut queue = queue();
+            let id = queue.submit(Duration::ZERO, job(effect)).unwrap();
+            queue.take_due(Duration::ZERO).unwrap();
+            let step = queue.ended(Duration::ZERO, id, end);
+            assert_eq!(condition(step), expected, "{effect:?} {end:?}");
+        }
+    }
+
+    #[test]
+    fn a_fingerprinted_job_that_may_have_run_is_not_sent_past_its_window() {
+        let mut queue = queue();
+        let start = Duration::from_secs(100);
+        let id = queue.submit(start, job(Effect::Fingerprinted)).unwrap();
+        queue.take_due(start).unwrap();
+        let end = End::PushedBack { come_back: Some(Duration::from_millis(10)), ran: Some(start) };
+        let Some(Step::Again { at }) = queue.ended(start, id, end) else { panic!() };
+        let (.., left) = queue.take_due(at).unwrap();
+        assert_eq!(left, Some(start + Duration::from_secs(5) - at));
+        let later = End::PushedBack { come_back: Some(Duration::from_secs(5)), ran: Some(at) };
+        assert_eq!(condition(queue.ended(at, id, later)), "RetriesExhausted");
+    }
+
+    #[test]
+    fn push_backs_use_up_age_and_no_tries() {
+        let mut queue = queue();
+        let id = queue.submit(Duration::ZERO, job(Effect::RunOnce)).unwrap();
+        let (mut now, mut times) = (Duration::ZERO, 0);
+        loop {
+            queue.take_due(now).unwrap();
+            times += 1;
+            let told = Duration::from_secs(1);
+            match queue.ended(now, id, End::PushedBack { come_back: Some(told), ran: None }).unwrap() {
+                Step::Again { at } => {
+                    assert!(at >= now + told);
+                    now = at;
+                }
+                Step::Over(calls) => {
+                    assert_eq!((calls.condition, calls.tries), ("EventAgeExceeded", 0));
+                    assert_eq!(calls.to, Some(Destination::Function("dead".into())));
+                    break;
+                }
+            }
+        }
+        assert!(times > 3 && queue.is_empty() && queue.bytes() == 0);
+    }
+
+    #[test]
+    fn circles_of_destinations_end() {
+        let mut queue = queue();
+        let id = queue.submit(Duration::ZERO, Submitted { hops: HOPS_MOST, ..job(Effect::RunOnce) }).unwrap();
+        queue.take_due(Duration::ZERO).unwrap();
+        let Some(Step::Over(calls)) = queue.ended(Duration::ZERO, id, End::Killed) else { panic!() };
+        assert_eq!(calls.to, None);
+    }
+
+    proptest! {
+        /// Whatever comes, in whatever order: the bounds hold, and each job has one try out at most.
+        #[test]
+        fn bounds_hold(steps in proptest::collection::vec((0u8..4, 0u64..12, 0u64..3000), 1..200)) {
+            let mut queue = queue();
+            let (mut now, mut out) = (Duration::ZERO, BTreeSet::new());
+            for (what, which, ms) in steps {
+                now += Duration::from_millis(ms);
+                match what {
+                    0 => drop(queue.submit(now, job(Effect::Restartable))),
+                    1 => while let Some((id, ..)) = queue.take_due(now) {
+                        prop_assert!(out.insert(id), "two tries out");
+                    },
+                    _ => {
+                        let end = match what {
+                            2 => End::Killed,
+                            _ => End::PushedBack { come_back: None, ran: None },
+                        };
+                        let step = queue.ended(now, Id(which), end);
+                        prop_assert_eq!(step.is_some(), out.remove(&Id(which)));
+                    }
+                }
+                prop_assert!(queue.len() <= 10 && queue.bytes() <= 10_000 && out.len() <= 2);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/src/audit.rs
@@ -0,0 +1,479 @@
+//! Judges a day from its record alone: the five rules, and never two executions of a job at once.
+use crate::record::{Line, Seen};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// How much later one stand-in may see something than another saw its cause, in microseconds: they are threads
+/// that share a few cores with the gateways, and a closed connection is seen when its thread is next run.
+pub const LAG_US: u64 = 75_000;
+
+/// What is promised to whom.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Terms {
+    /// Workloads that must never run twice, and those that may within a window (microseconds).
+    pub run_once: BTreeSet<String>,
+    pub windows_us: BTreeMap<String, u64>,
+    pub drain_grace_us: u64,
+    pub fall_multiple: f64,
+    pub fall_window_us: u64,
+    pub load_free: f64,
+    pub load_share: f64,
+    /// 0: load orders are not rationed.
+    pub load_window_us: u64,
+    /// Deferred jobs are over by the end of the record.
+    pub deferred_over: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    JobLost,
+    EffectTwice,
+    Drain,
+    ColdWorker,
+    Loads,
+    TwoAtOnce,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    pub rule: Rule,
+    pub at_us: u64,
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let name = match self.rule {
+            Rule::JobLost => "no job lost",
+            Rule::EffectTwice => "no effect twice",
+            Rule::Drain => "drains kept",
+            Rule::ColdWorker => "no cold worker pushed over",
+            Rule::Loads => "loads rationed",
+            Rule::TwoAtOnce => "never two executions at once",
+        };
+        write!(f, "{:.3} s: {name}: {}", self.at_us as f64 / 1e6, self.what)
+    }
+}
+
+struct Asked<'a> {
+    at: u64,
+    gateway: u64,
+    key: &'a str,
+    workload: &'a str,
+    deferred: bool,
+    limit: u64,
+}
+
+struct Execution<'a> {
+    worker: &'a str,
+    life: u64,
+    job: &'a str,
+    key: &'a str,
+    from: u64,
+    to: Option<u64>,
+    refused: bool,
+    work: u64,
+    began: bool,
+}
+
+/// Everything joined by what it is about.
+#[derive(Default)]
+struct Day<'a> {
+    asked: BTreeMap<u64, Asked<'a>>,
+    answers: BTreeMap<u64, Vec<(u64, u16)>>,
+    left: BTreeMap<u64, u64>,
+    cut: BTreeMap<u64, u64>,
+    executions: Vec<Execution<'a>>,
+    /// When each gateway was down: from its kill to its next start, or on to the end.
+    down: BTreeMap<u64, Vec<(u64, u64)>>,
+    end: u64,
+}
+
+fn join(lines: &[Line]) -> Day<'_> {
+    let mut day = Day::default();
+    let mut open: BTreeMap<(&str, u64, u64), usize> = BTreeMap::new();
+    for Line { at_us, seen } in lines {
+        let at = *at_us;
+        day.end = day.end.max(at);
+        match seen {
+            Seen::Asked { call, gateway, key, workload, deferred, limit_us } => {
+                let (gateway, deferred, limit) = (*gateway, *deferred, *limit_us);
+                day.asked.insert(*call, Asked { at, gateway, key, workload, deferred, limit });
+            }
+            Seen::Answered { call, status, .. } => day.answers.entry(*call).or_default().push((at, *status)),
+            Seen::Left { call } => drop(day.left.insert(*call, at)),
+            Seen::Cut { call } => drop(day.cut.insert(*call, at)),
+            Seen::Came { worker, life, call, job, key, work_us, .. } => {
+                open.insert((worker, *life, *call), day.executions.len());
+                day.executions.push(Execution {
+                    worker,
+                    life: *life,
+                    job,
+                    key,
+                    from: at,
+                    to: None,
+                    refused: false,
+                    work: *work_us,
+                    began: false,
+                });
+            }
+            Seen::Began { worker, life, call } => {
+                if let Some(&of) = open.get(&(worker.as_str(), *life, *call)) {
+                    day.executions[of].began = true;
+                }
+            }
+            Seen::Refused { worker, life, call } => {
+                if let Some(&of) = open.get(&(worker.as_str(), *life, *call)) {
+                    day.executions[of].refused = true;
+                }
+            }
+            Seen::Over { worker, life, call } => {
+                if let Some(&of) = open.get(&(worker.as_str(), *life, *call)) {
+                    day.executions[of].to.get_or_insert(at);
+                }
+            }
+            Seen::GatewayKilled { gateway } => day.down.entry(*gateway).or_default().push((at, u64::MAX)),
+            Seen::GatewayUp { gateway } => {
+                if let Some(last) = day.down.get_mut(gateway).and_then(|times| times.last_mut()) {
+                    last.1 = last.1.min(at);
+                }
+            }
+            Seen::Ordered { .. }
+            | Seen::ToldAway { .. }
+            | Seen::ToldUp { .. }
+            | Seen::Started { .. }
+            | Seen::Fell { .. } => {}
+        }
+    }
+    day
+}
+
+/// All that is broken, in the order of time.
+pub fn audit(lines: &[Line], terms: &Terms) -> Vec<Broken> {
+    let day = join(lines);
+    let mut broken = Vec::new();
+    lost(&day, terms, &mut broken);
+    twice(&day, terms, &mut broken);
+    at_once(&day, &mut broken);
+    drains(lines, terms, &mut broken);
+    cold(lines, &day, terms, &mut broken);
+    loads(lines, terms, &mut broken);
+    broken.sort_by_key(|b| (b.at_us, b.rule));
+    broken
+}
+
+/// Each job that a running gateway took gets one final answer, within its limit; what it held when it was killed
+/// is no longer its duty, nor is an answer to a client that left.
+fn lost(day: &Day, terms: &Terms, broken: &mut Vec<Broken>) {
+    let handled: BTreeSet<&str> = day.executions.iter().filter(|e| e.began).map(|e| e.key).collect();
+    for (call, asked) in &day.asked {
+        let until = asked.at + asked.limit + LAG_US;
+        let killed = |by: u64| {
+            let times = day.down.get(&asked.gateway);
+            times.is_some_and(|times| times.iter().any(|(from, to)| *from <= by && asked.at <= *to))
+        };
+        let mut add = |at_us: u64, what: String| broken.push(Broken { rule: Rule::JobLost, at_us, what });
+        let answers = day.answers.get(call).map_or(&[][..], Vec::as_slice);
+        match answers {
+            [] => {
+                let left = day.left.get(call).is_some_and(|at| *at < until);
+                if !left && !killed(until) && until < day.end {
+                    let how = if day.cut.contains_key(call) { "was cut off" } else { "got no answer" };
+                    add(until, format!("call {call} to gateway {} {how} within its limit", asked.gateway));
+                }
+            }
+            [(at, _)] if *at > until => {
+                add(
+                    *at,
+                    format!("call {call} was answered {} ms past its limit", (at - until + LAG_US) / 1000),
+                );
+            }
+            [_] => {}
+            [_, (at, _), ..] => add(*at, format!("call {call} was answered twice")),
+        }
+        if let (true, true, [(at, 202)]) = (asked.deferred, terms.deferred_over, answers) {
+            let dead = format!("dead:{}", asked.key);
+            let seen = handled.contains(asked.key) || day.executions.iter().any(|e| e.key == dead);
+            if !seen && !killed(day.end) {
+                add(*at, format!("deferred job {} was taken and never run or given up", asked.key));
+            }
+        }
+    }
+}
+
+/// By workload: run-once jobs are not sent again unless every earlier execution is known not to have run, and
+/// fingerprinted ones only within the window of the first.
+fn twice(day: &Day, terms: &Terms, broken: &mut Vec<Broken>) {
+    let workload: BTreeMap<&str, &str> = day.asked.values().map(|a| (a.key, a.workload)).collect();
+    let mut first: BTreeMap<&str, u64> = BTreeMap::new();
+    for execution in day.executions.iter().filter(|e| !e.refused && !e.key.is_empty()) {
+        let Some(workload) = workload.get(execution.key) else { continue };
+        let Some(&began) = first.get(execution.key) else {
+            first.insert(execution.key, execution.from);
+            continue;
+        };
+        let (at_us, key) = (execution.from, execution.key);
+        if terms.run_once.contains(*workload) {
+            let what = format!("run-once job {key} came to {} after it may have run", execution.worker);
+            broken.push(Broken { rule: Rule::EffectTwice, at_us, what });
+        }
+        let window = terms.windows_us.get(*workload);
+        if window.is_some_and(|window| at_us > began + window + LAG_US) {
+            let what = format!("fingerprinted job {key} came to {} past its window", execution.worker);
+            broken.push(Broken { rule: Rule::EffectTwice, at_us, what });
+        }
+    }
+}
+
+fn at_once(day: &Day, broken: &mut Vec<Broken>) {
+    let mut of: BTreeMap<&str, Vec<&Execution>> = BTreeMap::new();
+    day.executions.iter().filter(|e| !e.job.is_empty()).for_each(|e| of.entry(e.job).or_default().push(e));
+    for (job, mut all) in of {
+        all.sort_by_key(|e| e.from);
+        for pair in all.windows(2) {
+            if pair[0].to.is_none_or(|to| to > pair[1].from + LAG_US) {
+                let (first, second) = (pair[0].worker, pair[1].worker);
+                let what = format!("job {job} came to {second} while it was out at {first}");
+                broken.push(Broken { rule: Rule::TwoAtOnce, at_us: pair[1].from, what });
+            }
+        }
+    }
+}
+
+fn drains(lines: &[Line], terms: &Terms, broken: &mut Vec<Broken>) {
+    let mut away: BTreeMap<(u64, &str), u64> = BTreeMap::new();
+    for Line { at_us, seen } in lines {
+        match seen {
+            Seen::ToldAway { gateway, worker } => {
+                away.entry((*gateway, worker)).or_insert(*at_us);
+            }
+            Seen::ToldUp { gateway, worker } => drop(away.remove(&(*gateway, worker.as_str()))),
+            Seen::GatewayUp { gateway } => away.retain(|(of, _), _| of != gateway),
+            Seen::Came { worker, gateway, .. } | Seen::Ordered { worker, gateway } => {
+                let told = away.get(&(*gateway, worker.as_str()));
+                if let Some(told) = told.filter(|told| *at_us > **told + terms.drain_grace_us + LAG_US) {
+                    let late = (at_us - told) / 1000;
+                    let what = format!("gateway {gateway} sent {worker} work {late} ms after it was told");
+                    broken.push(Broken { rule: Rule::Drain, at_us: *at_us, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn cold(lines: &[Line], day: &Day, terms: &Terms, broken: &mut Vec<Broken>) {
+    let mut starts: BTreeMap<(&str, u64), (u64, f64, f64, u64)> = BTreeMap::new();
+    for Line { at_us, seen } in lines {
+        match seen {
+            Seen::Started { worker, life, cores, cold_from, cold_us } => {
+                starts.insert((worker, *life), (*at_us, *cores, *cold_from, *cold_us));
+            }
+            Seen::Fell { worker } => {
+                let what = format!("{worker} fell over");
+                broken.push(Broken { rule: Rule::ColdWorker, at_us: *at_us, what });
+            }
+            _ => {}
+        }
+    }
+    if terms.fall_multiple <= 0.0 {
+        return;
+    }
+    for ((worker, life), (start, cores, cold_from, cold_us)) in starts {
+        let came = day.executions.iter().filter(|e| e.worker == worker && e.life == life);
+        let came: Vec<(u64, u64)> = came.map(|e| (e.from, e.work)).collect();
+        let mut from = 0;
+        for (n, (at, _)) in came.iter().enumerate() {
+            if at.saturating_sub(start) >= cold_us {
+                break;
+            }
+            while came[from].0 + terms.fall_window_us < *at {
+                from += 1;
+            }
+            let sum: u64 = came[from..=n].iter().map(|(_, work)| work).sum();
+            let warmth = cold_from + (1.0 - cold_from) * (at - start) as f64 / cold_us as f64;
+            if sum as f64 > terms.fall_multiple * cores * warmth * terms.fall_window_us as f64 {
+                let what = format!("{worker} was sent {} ms of work in a window while cold", sum / 1000);
+                broken.push(Broken { rule: Rule::ColdWorker, at_us: *at, what });
+                break;
+            }
+        }
+    }
+}
+
+fn loads(lines: &[Line], terms: &Terms, broken: &mut Vec<Broken>) {
+    if terms.load_window_us == 0 {
+        return;
+    }
+    let mut of: BTreeMap<u64, (Vec<u64>, Vec<u64>)> = BTreeMap::new();
+    for Line { at_us, seen } in lines {
+        match seen {
+            Seen::Asked { gateway, .. } => of.entry(*gateway).or_default().0.push(*at_us),
+            Seen::Ordered { gateway, .. } => {
+                let (jobs, orders) = of.entry(*gateway).or_default();
+                orders.push(*at_us);
+                let since = at_us.saturating_sub(terms.load_window_us);
+                let count =
+                    |times: &[u64], since: u64| times.iter().filter(|at| **at >= since).count() as f64;
+                // Jobs that came a moment before the window count for the doubt that clocks leave.
+                let most = terms.load_free + terms.load_share * count(jobs, since.saturating_sub(LAG_US));
+                let ordered = count(orders, since);
+                if ordered > most {
+                    let what = format!(
+                        "gateway {gateway} gave {ordered} orders to load where {most:.1} are allowed"
+                    );
+                    broken.push(Broken { rule: Rule::Loads, at_us: *at_us, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn terms() -> Terms {
+        Terms {
+            run_once: BTreeSet::from(["once".to_owned()]),
+            windows_us: BTreeMap::from([("marked".to_owned(), 1_000_000)]),
+            drain_grace_us: 250_000,
+            fall_multiple: 3.0,
+            fall_window_us: 1_000_000,
+            load_free: 1.0,
+            load_share: 0.0,
+            load_window_us: 1_000_000,
+            deferred_over: true,
+        }
+    }
+
+    fn line(ms: u64, seen: Seen) -> Line {
+        Line { at_us: ms * 1000, seen }
+    }
+
+    fn asked(call: u64, workload: &str, deferred: bool) -> Seen {
+        let (key, workload) = (format!("k{call}"), workload.to_owned());
+        Seen::Asked { call, gateway: 0, key, workload, deferred, limit_us: 3_000_000 }
+    }
+
+    fn answered(call: u64, status: u16) -> Seen {
+        Seen::Answered { call, status, killed: false, function_error: false }
+    }
+
+    fn came(worker: &str, call: u64, key: &str) -> Seen {
+        let (worker, key, job) = (worker.to_owned(), key.to_owned(), "j".to_owned());
+        Seen::Came { worker, life: 1, call, gateway: 0, job, execution: 0, key, work_us: 1000 }
+    }
+
+    fn over(worker: &str, call: u64) -> Seen {
+        Seen::Over { worker: worker.to_owned(), life: 1, call }
+    }
+
+    fn began(worker: &str, call: u64) -> Seen {
+        Seen::Began { worker: worker.to_owned(), life: 1, call }
+    }
+
+    /// A day on which all is kept.
+    fn good() -> Vec<Line> {
+        vec![
+            line(0, Seen::GatewayUp { gateway: 0 }),
+            line(
+                0,
+                Seen::Started { worker: "a".into(), life: 1, cores: 1.0, cold_from: 0.2, cold_us: 5_000_000 },
+            ),
+            line(10, asked(1, "once", false)),
+            line(11, came("a", 1, "k1")),
+            line(15, began("a", 1)),
+            line(15, over("a", 1)),
+            line(16, answered(1, 200)),
+            line(20, Seen::ToldAway { gateway: 0, worker: "a".into() }),
+            line(30, Seen::Ordered { worker: "b".into(), gateway: 0 }),
+            line(9000, Seen::ToldUp { gateway: 0, worker: "a".into() }),
+        ]
+    }
+
+    fn rules(extra: Vec<Line>) -> Vec<Rule> {
+        let mut lines = good();
+        lines.extend(extra);
+        lines.sort_by_key(|line| line.at_us);
+        audit(&lines, &terms()).into_iter().map(|broken| broken.rule).collect()
+    }
+
+    #[test]
+    fn a_good_day_is_good() {
+        assert_eq!(rules(Vec::new()), []);
+    }
+
+    #[test]
+    fn each_doctored_day_breaks_its_rule() {
+        let lost = vec![line(100, asked(2, "any", false))];
+        assert_eq!(rules(lost), [Rule::JobLost]);
+        let late = vec![line(100, asked(2, "any", false)), line(3300, answered(2, 429))];
+        assert_eq!(rules(late), [Rule::JobLost]);
+        let again = vec![line(17, answered(1, 200))];
+        assert_eq!(rules(again), [Rule::JobLost]);
+        let forgotten = vec![line(100, asked(2, "any", true)), line(101, answered(2, 202))];
+        assert_eq!(rules(forgotten), [Rule::JobLost]);
+        let twice = vec![line(500, came("b", 2, "k1")), line(501, over("b", 2))];
+        assert_eq!(rules(twice), [Rule::EffectTwice]);
+        let window = vec![
+            line(100, asked(2, "marked", false)),
+            line(101, came("b", 2, "k2")),
+            line(102, over("b", 2)),
+            line(2000, came("c", 3, "k2")),
+            line(2001, over("c", 3)),
+            line(2002, answered(2, 200)),
+        ];
+        assert_eq!(rules(window), [Rule::EffectTwice]);
+        let at_once = vec![
+            line(100, asked(2, "any", false)),
+            line(101, came("b", 2, "k2")),
+            line(102, came("c", 3, "k2")),
+            line(900, over("b", 2)),
+            line(901, over("c", 3)),
+            line(902, answered(2, 200)),
+        ];
+        assert_eq!(rules(at_once), [Rule::TwoAtOnce]);
+        let drain = vec![line(400, came("a", 2, "")), line(401, over("a", 2))];
+        assert_eq!(rules(drain), [Rule::Drain]);
+        let fell = vec![line(400, Seen::Fell { worker: "a".into() })];
+        assert_eq!(rules(fell), [Rule::ColdWorker]);
+        let loads = vec![line(400, Seen::Ordered { worker: "b".into(), gateway: 0 })];
+        assert_eq!(rules(loads), [Rule::Loads]);
+    }
+
+    #[test]
+    fn too_much_work_for_a_cold_worker_is_seen_without_its_fall() {
+        let push = |n: u64| {
+            let (worker, key, job) = ("a".to_owned(), String::new(), String::new());
+            let seen = Seen::Came {
+                worker,
+                life: 1,
+                call: 100 + n,
+                gateway: 1,
+                job,
+                execution: 0,
+                key,
+                work_us: 200_000,
+            };
+            line(500 + n, seen)
+        };
+        assert_eq!(rules((0..4).map(push).collect()), [Rule::ColdWorker]);
+        assert_eq!(rules((0..2).map(push).collect()), []);
+    }
+
+    #[test]
+    fn a_killed_gateway_owes_nothing_and_its_successor_was_told_nothing() {
+        let killed = vec![
+            line(100, asked(2, "any", false)),
+            line(150, Seen::Cut { call: 2 }),
+            line(149, Seen::GatewayKilled { gateway: 0 }),
+            line(300, Seen::GatewayUp { gateway: 0 }),
+            line(400, came("a", 2, "")),
+            line(401, over("a", 2)),
+        ];
+        assert_eq!(rules(killed), []);
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -0,0 +1,383 @@
+//! Plays a script against gateways in processes of their own, and has its record audited.
+use crate::actor::{self, Running};
+use crate::audit::{self, Broken, Terms};
+use crate::clients::{self, Clients, Tally};
+use crate::model::{Machine, Spec};
+use crate::record::{Line, Recorder, Seen};
+use crate::roster::{self, Roster};
+use crate::script::{Script, Trouble};
+use crate::store::{self, Store};
+use crate::worker::{self, Faults, WorkerStandIn};
+use quartzdrift_choice::interface::{Effect, State};
+use quartzdrift_roster::list::Listed;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How long open calls and deferred jobs may take to end once no more come.
+const SETTLE: Duration = Duration::from_secs(15);
+/// The rule for drains that the gateways are given.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+/// How long a gateway may take to start or to stop.
+const GATEWAY_MOST: Duration = Duration::from_secs(20);
+
+/// How a day went.
+pub struct Day {
+    pub lines: Vec<Line>,
+    pub terms: Terms,
+    pub broken: Vec<Broken>,
+    pub tally: Tally,
+    /// Executions that reached workers, and of these those that were refused there.
+    pub executions: usize,
+}
+
+/// How the gateways of a day are started.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub path: PathBuf,
+    pub arguments: Vec<String>,
+}
+
+struct Gateway {
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+struct Stage<'a> {
+    script: &'a Script,
+    program: &'a Program,
+    recorder: Recorder,
+    workers: Vec<Running<worker::Command>>,
+    faults: Vec<Faults>,
+    roster: Running<roster::Command>,
+    store: Running<store::Command>,
+    gateways: Vec<Gateway>,
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn listed(worker: &str, state: State, started: Option<Duration>) -> Listed {
+    Listed { state, started, ..Listed::up(worker) }
+}
+
+/// Settings of one gateway of a day.
+pub fn settings(script: &Script, me: usize, listen: SocketAddr, roster: SocketAddr, state: &Path) -> String {
+    let mut text = String::new();
+    let ms = |span: Duration| format!("\"{}ms\"", span.as_millis());
+    let state = state.display();
+    // Writing into a string cannot fail.
+    let _ = write!(
+        text,
+        "[gateway]\nlisten = [\"{listen}\"]\nstate = \"{state}\"\nseed = {me}\ndrain = \"5s\"\n\
+         [log]\nfilter = \"warn\"\n\
+         [scheduler]\nme = {me}\nschedulers = {}\n\
+         [roster]\nurl = \"http://{roster}/workers/{me}\"\nstream = true\nevery = \"2s\"\ntimeout = \"500ms\"\n\
+         [allowed]\nmax_executions = 3\nconnect_timeout = \"250ms\"\n\
+         [rules]\nanswer_slack = \"50ms\"\ndrain_grace = {}\n",
+        script.gateways,
+        ms(DRAIN_GRACE),
+    );
+    if script.fall_multiple > 0.0 {
+        let _ = write!(
+            text,
+            "cold_from = {}\ncold_for = {}\nfall_multiple = {:.3}\nfall_window = {}\n",
+            script.cold_from,
+            ms(script.cold_for),
+            script.fall_multiple,
+            ms(script.fall_window),
+        );
+    }
+    let _ = write!(
+        text,
+        "[copies]\ntells_warm = true\ntells_crowd = true\nkeep = {}\nmemory_mb_by_kind = [{:.1}]\n\
+         [reports]\nsource = \"answers\"\nfields = [{{ field = \"held\", metric = \"named_metrics.inflight\" }}, \
+         {{ field = \"loads\", metric = \"named_metrics.loads\" }}]\n\
+         [deferred]\ntries = 3\nwait = \"200ms\"\nlongest_wait = \"2s\"\ngreatest_age = \"60s\"\n\
+         on_failure = {{ function = \"dead\" }}\n",
+        ms(script.keep),
+        script.memory_mb,
+    );
+    let first = script.workloads.first().map_or("", |workload| workload.name.as_str());
+    for workload in &script.workloads {
+        let effect = match workload.effect {
+            Effect::Restartable => "restartable",
+            Effect::Fingerprinted => "fingerprinted",
+            Effect::RunOnce => "run-once",
+        };
+        let (name, limit) = (&workload.name, ms(workload.limit));
+        let _ =
+            write!(text, "[[workloads]]\nname = \"{name}\"\neffect = \"{effect}\"\ntime_limit = {limit}\n");
+        if workload.effect == Effect::Fingerprinted {
+            let _ = writeln!(text, "window = {}", ms(workload.window));
+        }
+        for n in 0..workload.functions {
+            let (memory, lanes, load) = (workload.memory_mb, workload.lanes, ms(workload.load));
+            let _ = write!(
+                text,
+                "[[functions]]\nname = \"{name}-{n}\"\nworkload = \"{name}\"\nmemory_mb = {memory:.1}\n\
+                 lanes = {lanes}\nload = {load}\n"
+            );
+        }
+    }
+    let _ = write!(text, "[[functions]]\nname = \"dead\"\nworkload = \"{first}\"\n");
+    text
+}
+
+fn specs(script: &Script) -> BTreeMap<String, Spec> {
+    let mut specs = BTreeMap::new();
+    for workload in &script.workloads {
+        for n in 0..workload.functions {
+            let (memory_mb, lanes, load, work) =
+                (workload.memory_mb, workload.lanes, workload.load, workload.work);
+            specs.insert(format!("{}-{n}", workload.name), Spec { memory_mb, lanes, load, fetch: 0.6, work });
+        }
+    }
+    let light = Spec { memory_mb: 1.0, load: Duration::from_millis(1), ..Spec::default() };
+    specs.insert("dead".to_owned(), light);
+    specs
+}
+
+fn terms(script: &Script) -> Terms {
+    let of = |effect| script.workloads.iter().filter(move |w| w.effect == effect);
+    Terms {
+        run_once: of(Effect::RunOnce).map(|w| w.name.clone()).collect(),
+        windows_us: of(Effect::Fingerprinted)
+            .map(|w| (w.name.clone(), w.window.as_micros() as u64))
+            .collect(),
+        drain_grace_us: DRAIN_GRACE.as_micros() as u64,
+        fall_multiple: script.fall_multiple,
+        fall_window_us: script.fall_window.as_micros() as u64,
+        load_free: 0.0,
+        load_share: 0.0,
+        load_window_us: 0,
+        deferred_over: true,
+    }
+}
+
+impl Stage<'_> {
+    fn start_gateway(&mut self, n: usize) -> io::Result<()> {
+        let mut child = Command::new(&self.program.path)
+            .args(&self.program.arguments)
+            .arg(&self.gateways[n].settings)
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let out = child.stdout.take().ok_or_else(|| io::Error::other("a gateway has no output"))?;
+        let mut first = String::new();
+        BufReader::new(out).read_line(&mut first)?;
+        self.gateways[n].child = Some(child);
+        if !first.contains("listens at") {
+            return Err(io::Error::other(format!("gateway {n} did not start: {first:?}")));
+        }
+        self.recorder.see(Seen::GatewayUp { gateway: n as u64 });
+        Ok(())
+    }
+
+    fn set_faults(&mut self, n: usize, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.faults[n]);
+        self.workers[n].tell(worker::Command::Faults(self.faults[n].clone()));
+    }
+
+    fn list(&self, n: usize, state: State) {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started = (state == State::Up).then_some(started);
+        let worker = self.workers[n].address.to_string();
+        self.roster.tell(roster::Command::Set(listed(&worker, state, started)));
+    }
+
+    fn cause(&mut self, trouble: &Trouble) -> io::Result<()> {
+        match *trouble {
+            Trouble::Crash(n) => {
+                self.workers[n].tell(worker::Command::Crash);
+                self.list(n, State::Gone);
+            }
+            Trouble::Start(n) => {
+                self.faults[n] = Faults::default();
+                self.workers[n].tell(worker::Command::Start);
+                self.list(n, State::Up);
+            }
+            Trouble::Drain(n) => {
+                self.workers[n].tell(worker::Command::Drain);
+                self.list(n, State::Draining);
+            }
+            Trouble::Silent(n) => self.set_faults(n, |faults| faults.silent = true),
+            Trouble::Hang(n) => self.set_faults(n, |faults| faults.hang = true),
+            Trouble::Well(n) => self.set_faults(n, |faults| *faults = Faults::default()),
+            Trouble::Errors(n, share) => self.set_faults(n, |faults| faults.errors = share),
+            Trouble::Lose(n, share) => self.set_faults(n, |faults| faults.lost = share),
+            Trouble::Slow(n, by) => self.set_faults(n, |faults| faults.slow = by),
+            Trouble::Late(n, by) => self.set_faults(n, |faults| faults.late_reports = by),
+            Trouble::RosterLag(lag) => self.roster.tell(roster::Command::Lag(lag)),
+            Trouble::RosterStop(on) => self.roster.tell(roster::Command::Stop(on)),
+            Trouble::RosterEmpty(on) => self.roster.tell(roster::Command::Empty(on)),
+            Trouble::StoreSlow(times) => self.store.tell(store::Command::Slow(times)),
+            Trouble::StoreRefuse(on) => self.store.tell(store::Command::Refuse(on)),
+            Trouble::KillGateway(n) => {
+                if let Some(mut child) = self.gateways[n].child.take() {
+                    // The moment before counts: what comes back after it was sent before it.
+                    self.recorder.see(Seen::GatewayKilled { gateway: n as u64 });
+                    child.kill()?;
+                    child.wait()?;
+                }
+            }
+            Trouble::StartGateway(n) => {
+                if self.gateways[n].child.is_none() {
+                    self.start_gateway(n)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops the gateways as an operator does. `Err` names one that does not end by itself.
+    fn stop(&mut self) -> io::Result<()> {
+        for gateway in &self.gateways {
+            if let Some(child) = &gateway.child {
+                let id = child.id().to_string();
+                Command::new("kill").args(["-TERM", &id]).status()?;
+            }
+        }
+        let until = Instant::now() + GATEWAY_MOST;
+        for (n, gateway) in self.gateways.iter_mut().enumerate() {
+            let Some(mut child) = gateway.child.take() else { continue };
+            loop {
+                if let Some(status) = child.try_wait()? {
+                    if !status.success() {
+                        return Err(io::Error::other(format!("gateway {n} ended with {status}")));
+                    }
+                    break;
+                }
+                if Instant::now() > until {
+                    child.kill()?;
+                    return Err(io::Error::other(format!("gateway {n} did not stop by itself")));
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Stage<'_> {
+    /// No gateway outlives its day, however that ends.
+    fn drop(&mut self) {
+        for child in self.gateways.iter_mut().filter_map(|gateway| gateway.child.as_mut()) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Plays the day. Seeds draw its traffic; times on sockets are never quite the same.
+pub fn play(script: &Script, program: &Program, seed: u64) -> io::Result<Day> {
+    let folder = tempfile::tempdir()?;
+    let recorder = Recorder::default();
+    let store_config = store::Config {
+        capacity: script.store_capacity,
+        limit: script.store_limit,
+        stops_at: script.store_stops_at,
+        stops_for: Duration::from_secs(2),
+    };
+    let store = actor::spawn(any(), move |handle, _| Store::new(handle, store_config))?;
+    let marks: worker::Marks = Arc::default();
+    let window = script.workloads.iter().map(|w| w.window).max().unwrap_or_default();
+    let mut workers = Vec::new();
+    for n in 0..script.workers {
+        let config = worker::Config {
+            machine: Machine {
+                cores: script.cores,
+                memory_mb: script.memory_mb,
+                queue_most: script.queue,
+                keep: script.keep,
+                cold_from: script.cold_from,
+                cold_for: script.cold_for,
+                fall_multiple: script.fall_multiple,
+                fall_window: script.fall_window,
+                ..Machine::default()
+            },
+            specs: specs(script),
+            store: Some(store.address),
+            marks: Some(marks.clone()),
+            window,
+            recorder: Some(recorder.clone()),
+            seed: seed ^ n as u64,
+            ..worker::Config::default()
+        };
+        workers
+            .push(actor::spawn(any(), move |handle, address| WorkerStandIn::new(handle, address, config))?);
+    }
+    let first: Vec<Listed> =
+        workers.iter().map(|w| listed(&w.address.to_string(), State::Up, None)).collect();
+    let (lag, of) = (script.lag, recorder.clone());
+    let roster = actor::spawn(any(), move |handle, _| Roster::new(handle, first, lag, Some(of)))?;
+    let mut gateways = Vec::new();
+    let mut addresses = Vec::new();
+    for n in 0..script.gateways {
+        // A port that was free a moment ago, so that a gateway comes back at its old address.
+        let listen = TcpListener::bind(any())?.local_addr()?;
+        let state = folder.path().join(format!("gateway-{n}"));
+        let file = folder.path().join(format!("gateway-{n}.toml"));
+        std::fs::File::create(&file)?
+            .write_all(settings(script, n, listen, roster.address, &state).as_bytes())?;
+        gateways.push(Gateway { settings: file, child: None });
+        addresses.push(listen);
+    }
+    let faults = vec![Faults::default(); script.workers];
+    let mut stage =
+        Stage { script, program, recorder: recorder.clone(), workers, faults, roster, store, gateways };
+    for n in 0..stage.script.gateways {
+        stage.start_gateway(n)?;
+    }
+    let (open, tally) = (Arc::new(AtomicU64::new(0)), Arc::new(Mutex::new(Tally::default())));
+    let (of, workloads) = (recorder.clone(), script.workloads.clone());
+    let (open_too, tally_too) = (open.clone(), tally.clone());
+    let clients = actor::spawn(any(), move |handle, _| {
+        Clients::new(handle, of, addresses, workloads, seed, open_too, tally_too)
+    })?;
+    let start = Instant::now();
+    for (at, trouble) in &script.troubles {
+        std::thread::sleep(at.saturating_sub(start.elapsed()));
+        stage.cause(trouble)?;
+    }
+    std::thread::sleep(script.length.saturating_sub(start.elapsed()));
+    clients.tell(clients::Command::Enough);
+    let until = Instant::now() + SETTLE;
+    while open.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let stopped = stage.stop();
+    drop(clients);
+    stopped?;
+    let lines = recorder.lines();
+    let terms = terms(script);
+    let broken = audit::audit(&lines, &terms);
+    let executions = lines.iter().filter(|line| matches!(line.seen, Seen::Came { .. })).count();
+    let tally = tally.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    Ok(Day { lines, terms, broken, tally, executions })
+}
+
+/// Writes a day's terms and record, one JSON object a line.
+pub fn save(day: &Day, path: &Path) -> io::Result<()> {
+    let mut out = io::BufWriter::new(std::fs::File::create(path)?);
+    writeln!(out, "{}", serde_json::to_string(&day.terms)?)?;
+    for line in &day.lines {
+        writeln!(out, "{}", serde_json::to_string(line)?)?;
+    }
+    out.flush()
+}
+
+/// Reads what [`save`] wrote.
+pub fn load(path: &Path) -> io::Result<(Terms, Vec<Line>)> {
+    let text = std::fs::read_to_string(path)?;
+    let mut lines = text.lines();
+    let terms = serde_json::from_str(lines.next().unwrap_or(""))?;
+    let lines = lines.map(serde_json::from_str).collect::<Result<Vec<Line>, _>>()?;
+    Ok((terms, lines))
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/src/clients.rs
@@ -0,0 +1,255 @@
+//! Clients of a day: they call gateways at random moments, wait no longer than their limit, sometimes hang up, and
+//! come back where they were pushed back or found nobody, as client libraries do.
+use crate::actor::StandIn;
+use crate::record::{Recorder, Seen};
+use crate::script::Workload;
+use calloop::LoopHandle;
+use quartzdrift_choice::interface::Effect;
+use quartzdrift_http::{CallId, Failure, HasHttp, Headers, Http, HttpEvent, Limits, Outgoing, Response};
+use quartzdrift_invoke::call;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Repeats of a call that was pushed back or found nobody.
+const REPEATS_MOST: u32 = 2;
+/// How much longer than its limit a client listens, to see an answer that comes late.
+const LISTEN_ON: Duration = Duration::from_millis(500);
+
+pub enum Command {
+    /// No new calls from now on; repeats go on.
+    Enough,
+}
+
+/// What came of all calls, for the last word.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub asked: u64,
+    pub finished: u64,
+    pub pushed_back: u64,
+    pub killed: u64,
+    pub taken: u64,
+    pub other: u64,
+    pub no_answer: u64,
+}
+
+struct Try {
+    key: String,
+    workload: usize,
+    function: String,
+    repeats: u32,
+    gateway: usize,
+    until: Duration,
+    hangs_up: bool,
+    call: u64,
+}
+
+pub struct Clients {
+    http: Http<Clients>,
+    recorder: Recorder,
+    gateways: Vec<SocketAddr>,
+    workloads: Vec<Workload>,
+    next: Vec<Option<Duration>>,
+    out: HashMap<CallId, Try>,
+    later: Vec<(Duration, Try)>,
+    chance: StdRng,
+    drawn: u64,
+    open: Arc<AtomicU64>,
+    tally: Arc<Mutex<Tally>>,
+}
+
+impl HasHttp for Clients {
+    fn http(&mut self) -> &mut Http<Clients> {
+        &mut self.http
+    }
+}
+
+impl Clients {
+    pub fn new(
+        handle: LoopHandle<'static, Clients>,
+        recorder: Recorder,
+        gateways: Vec<SocketAddr>,
+        workloads: Vec<Workload>,
+        seed: u64,
+        open: Arc<AtomicU64>,
+        tally: Arc<Mutex<Tally>>,
+    ) -> Clients {
+        let now = recorder.now();
+        Clients {
+            http: Http::new(handle, Limits { keepalive: Duration::from_secs(5), ..Limits::default() }),
+            next: workloads.iter().map(|_| Some(now)).collect(),
+            recorder,
+            gateways,
+            workloads,
+            out: HashMap::new(),
+            later: Vec::new(),
+            chance: StdRng::seed_from_u64(seed),
+            drawn: 0,
+            open,
+            tally,
+        }
+    }
+
+    fn count(&self, of: impl FnOnce(&mut Tally)) {
+        of(&mut self.tally.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    fn arrive(&mut self, workload: usize, now: Duration) {
+        let of = &self.workloads[workload];
+        // Time between arrivals of independent clients.
+        let gap = -(1.0 - self.chance.random_range(0.0..1.0f64)).ln() / of.rate;
+        self.next[workload] = Some(now + Duration::from_secs_f64(gap));
+        // Some functions are more popular than others: the smaller of two draws.
+        let (a, b) = (self.chance.random_range(0..of.functions), self.chance.random_range(0..of.functions));
+        let function = format!("{}-{}", of.name, a.min(b));
+        let hangs_up = self.chance.random_range(0.0..1.0) < of.hang_up;
+        self.drawn += 1;
+        let key = format!("{}-{}", of.name, self.drawn);
+        let gateway = self.chance.random_range(0..self.gateways.len());
+        let (repeats, until, call) = (0, Duration::ZERO, 0);
+        self.send(Try { key, workload, function, repeats, gateway, until, hangs_up, call }, now);
+    }
+
+    fn send(&mut self, mut of: Try, now: Duration) {
+        let workload = &self.workloads[of.workload];
+        let work_ms = workload.work.as_secs_f64() * 1000.0 * self.chance.random_range(0.5..1.5);
+        let payload = format!("{{\"key\":\"{}\",\"work_ms\":{work_ms:.3}}}", of.key);
+        let mut headers = Headers::new().with("content-type", "application/json");
+        if workload.deferred {
+            headers.push("x-amz-invocation-type", "Event");
+        }
+        if workload.effect == Effect::Fingerprinted {
+            headers.push("idempotency-key", &of.key);
+        }
+        let request = Outgoing {
+            method: "POST",
+            target: call::target(&of.function),
+            headers,
+            body: payload.into_bytes().into(),
+            connect_timeout: Duration::from_secs(1),
+            streams: false,
+        };
+        self.drawn += 1;
+        of.call = self.drawn;
+        of.until = match of.hangs_up {
+            true => now + workload.limit.mul_f64(self.chance.random_range(0.0..0.2)),
+            false => now + workload.limit + LISTEN_ON,
+        };
+        self.recorder.see(Seen::Asked {
+            call: of.call,
+            gateway: of.gateway as u64,
+            key: of.key.clone(),
+            workload: workload.name.clone(),
+            deferred: workload.deferred,
+            limit_us: workload.limit.as_micros() as u64,
+        });
+        self.count(|tally| tally.asked += 1);
+        let call = self.http.call(self.gateways[of.gateway], request);
+        self.open.fetch_add(1, Ordering::Relaxed);
+        self.out.insert(call, of);
+    }
+
+    fn again(&mut self, mut of: Try, after: Duration) {
+        if of.repeats < REPEATS_MOST {
+            of.repeats += 1;
+            of.gateway = (of.gateway + 1) % self.gateways.len();
+            self.open.fetch_add(1, Ordering::Relaxed);
+            self.later.push((self.recorder.now() + after, of));
+        }
+    }
+
+    fn answered(&mut self, of: Try, answer: &Response) {
+        let function_error = answer.headers.get("x-amz-function-error").is_some();
+        let killed = function_error && answer.body.windows(11).any(|part| part == b"Quartzdrift");
+        let status = answer.status;
+        self.recorder.see(Seen::Answered { call: of.call, status, killed, function_error });
+        self.count(|tally| match status {
+            200 if killed => tally.killed += 1,
+            200 => tally.finished += 1,
+            202 => tally.taken += 1,
+            429 => tally.pushed_back += 1,
+            _ => tally.other += 1,
+        });
+        if status == 429 {
+            let told = answer.headers.get("x-quartzdrift-come-back-ms").and_then(|ms| ms.parse().ok());
+            let told = Duration::from_millis(told.unwrap_or(100));
+            let wait = told.mul_f64(self.chance.random_range(1.0..2.0));
+            self.again(of, wait);
+        }
+    }
+}
+
+impl StandIn for Clients {
+    type Command = Command;
+
+    fn event(&mut self, event: HttpEvent) {
+        match event {
+            HttpEvent::Answer { call, answer } => {
+                let Some(of) = self.out.remove(&call) else { return };
+                self.answered(of, &answer);
+                self.open.fetch_sub(1, Ordering::Relaxed);
+            }
+            HttpEvent::Failed { call, how } => {
+                let Some(of) = self.out.remove(&call) else { return };
+                self.recorder.see(Seen::Cut { call: of.call });
+                self.count(|tally| tally.no_answer += 1);
+                // Nobody was there: the call never reached a gateway, so that trying another is harmless.
+                if how == Failure::Connect {
+                    self.again(of, Duration::from_millis(50));
+                }
+                self.open.fetch_sub(1, Ordering::Relaxed);
+            }
+            HttpEvent::Request { .. }
+            | HttpEvent::Gone { .. }
+            | HttpEvent::Part { .. }
+            | HttpEvent::End { .. } => {}
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Enough => self.next.iter_mut().for_each(|next| *next = None),
+        }
+    }
+
+    fn next_due(&self) -> Option<Duration> {
+        let arrivals = self.next.iter().flatten().copied();
+        let later = self.later.iter().map(|(at, _)| *at);
+        let until = self.out.values().map(|of| of.until);
+        arrivals.chain(later).chain(until).min()
+    }
+
+    fn due(&mut self, now: Duration) {
+        for workload in 0..self.workloads.len() {
+            while self.next[workload].is_some_and(|at| at <= now) {
+                let at = self.next[workload].unwrap_or(now);
+                self.arrive(workload, at.max(now.saturating_sub(Duration::from_millis(100))));
+            }
+        }
+        let (due, left): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.later).into_iter().partition(|l| l.0 <= now);
+        self.later = left;
+        for (_, of) in due {
+            self.send(of, now);
+            self.open.fetch_sub(1, Ordering::Relaxed);
+        }
+        let over: Vec<CallId> =
+            self.out.iter().filter(|(_, of)| of.until <= now).map(|(id, _)| *id).collect();
+        for call in over {
+            if let Some(of) = self.out.remove(&call) {
+                self.http.cancel(call);
+                self.recorder.see(Seen::Left { call: of.call });
+                self.count(|tally| tally.no_answer += 1);
+                self.open.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.recorder.now()
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -0,0 +1,305 @@
+//! The lab's command line.
+mod actor;
+mod audit;
+mod badday;
+mod clients;
+mod functions;
+mod load;
+mod model;
+mod record;
+mod roster;
+mod script;
+mod store;
+mod worker;
+
+use clap::{Parser, Subcommand};
+use quartzdrift::{logs, serve, settings};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-ins, trouble scripts, auditor and load for quartzdrift.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a gateway and a few stand-in workers with sample functions, all on loopback
+    Demo {
+        #[arg(long, default_value = "127.0.0.1:9700")]
+        listen: SocketAddr,
+        #[arg(long, default_value_t = 3)]
+        workers: usize,
+    },
+    /// Run a gateway by a settings file, as `quartzdrift serve` does
+    Gateway { file: PathBuf },
+    /// Run one stand-in worker
+    Worker {
+        #[arg(long, default_value = "127.0.0.1:9801")]
+        listen: SocketAddr,
+        /// Address of a store to fetch functions from
+        #[arg(long)]
+        store: Option<SocketAddr>,
+    },
+    /// Run a stand-in store
+    Store {
+        #[arg(long, default_value = "127.0.0.1:9850")]
+        listen: SocketAddr,
+        #[command(flatten)]
+        config: StoreOptions,
+    },
+    /// Play a day of troubles against several gateway processes, and judge the rules from what passed on the sockets
+    ///
+    /// Exit status 0 only where every rule was kept. Without a script it plays the bad day that comes with it.
+    Badday {
+        script: Option<PathBuf>,
+        /// Draws the day's traffic
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Play it so many times, each with the next seed
+        #[arg(long, default_value_t = 1)]
+        times: u64,
+        /// Keep the record in this file
+        #[arg(long)]
+        record: Option<PathBuf>,
+        /// Run gateways of this program (`PROGRAM serve FILE`) in place of this one
+        #[arg(long)]
+        gateway: Option<PathBuf>,
+    },
+    /// Call functions at a rate, open-loop, and report times by outcome
+    Load {
+        /// The addresses called in turn
+        #[arg(long, default_value = "127.0.0.1:9700", value_delimiter = ',')]
+        to: Vec<SocketAddr>,
+        /// Functions with their shares, like hello=3,add=1
+        #[arg(long, default_value = "hello=1", value_delimiter = ',', value_parser = share)]
+        mix: Vec<(String, f64)>,
+        /// Calls a second
+        #[arg(long, default_value_t = 100.0)]
+        rate: f64,
+        #[arg(long, default_value = "10s", value_parser = humantime::parse_duration)]
+        length: Duration,
+        #[arg(long, default_value = "{}")]
+        payload: String,
+        /// Deferred calls
+        #[arg(long)]
+        event: bool,
+        /// Calls out at a time at most
+        #[arg(long, default_value_t = 1000)]
+        out: usize,
+        #[arg(long, default_value = "30s", value_parser = humantime::parse_duration)]
+        timeout: Duration,
+        /// Evenly spaced in place of random arrivals
+        #[arg(long)]
+        even: bool,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Judge a record that was kept
+    Audit { record: PathBuf },
+    /// Run a stand-in roster that lists these workers
+    Roster {
+        #[arg(long, default_value = "127.0.0.1:9800")]
+        listen: SocketAddr,
+        workers: Vec<SocketAddr>,
+    },
+}
+
+#[derive(clap::Args)]
+struct StoreOptions {
+    /// Fetches at a time that are as fast as one
+    #[arg(long, default_value_t = 16.0)]
+    capacity: f64,
+    /// Fetches at a time past which more are turned away
+    #[arg(long, default_value_t = 64)]
+    limit: usize,
+}
+
+fn share(text: &str) -> Result<(String, f64), String> {
+    let (function, share) = text.split_once('=').unwrap_or((text, "1"));
+    match share.parse::<f64>() {
+        Ok(share) if share > 0.0 && share.is_finite() => Ok((function.to_owned(), share)),
+        Ok(_) | Err(_) => Err(format!("'{share}' is no share over 0")),
+    }
+}
+
+fn main() -> ExitCode {
+    let done = match Arguments::parse().command {
+        Command::Demo { listen, workers } => demo(listen, workers),
+        Command::Gateway { file } => gateway(&file),
+        Command::Badday { script, seed, times, record, gateway } => {
+            return badday(script.as_deref(), seed..seed + times, record.as_deref(), gateway);
+        }
+        Command::Load { to, mix, rate, length, payload, event, out, timeout, even, seed } => {
+            let (deferred, out_most) = (event, out);
+            let plan = load::Plan { to, mix, rate, length, payload, deferred, out_most, timeout, even, seed };
+            load::run(plan).map(|report| println!("{report}"))
+        }
+        Command::Audit { record } => {
+            return match badday::load(&record) {
+                Ok((terms, lines)) => judged(&audit::audit(&lines, &terms)),
+                Err(e) => {
+                    eprintln!("quartzdrift-lab: {}: {e}", record.display());
+                    ExitCode::FAILURE
+                }
+            };
+        }
+        Command::Worker { listen, store } => bind(listen).and_then(|(listener, address)| {
+            println!("worker at {address}");
+            let config = worker::Config { store, ..worker::Config::default() };
+            actor::run(Some(listener), None, |handle| worker::WorkerStandIn::new(handle, address, config))
+        }),
+        Command::Store { listen, config } => bind(listen).and_then(|(listener, address)| {
+            println!("store at {address}");
+            let config =
+                store::Config { capacity: config.capacity, limit: config.limit, ..store::Config::default() };
+            actor::run(Some(listener), None, |handle| store::Store::new(handle, config))
+        }),
+        Command::Roster { listen, workers } => bind(listen).and_then(|(listener, address)| {
+            println!("roster at http://{address}/workers/0");
+            let workers =
+                workers.iter().map(|w| quartzdrift_roster::list::Listed::up(&w.to_string())).collect();
+            let lag = Duration::ZERO;
+            actor::run(Some(listener), None, |handle| roster::Roster::new(handle, workers, lag, None))
+        }),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("quartzdrift-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn bind(at: SocketAddr) -> std::io::Result<(std::net::TcpListener, SocketAddr)> {
+    let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("cannot listen at {at}: {e}"));
+    let listener = quartzdrift_http::bind(at).map_err(named)?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+fn faults(faults: Vec<settings::Fault>) -> std::io::Error {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    std::io::Error::other(lines.join("\n"))
+}
+
+fn gateway(file: &std::path::Path) -> std::io::Result<()> {
+    let settings = settings::load(file).map_err(faults)?;
+    logs::start(&settings.log);
+    serve::run(settings, serve::signals()?, |addresses| {
+        addresses.iter().for_each(|at| println!("quartzdrift listens at http://{at}"));
+        let _ = std::io::stdout().flush();
+    })
+}
+
+/// The day that is played where no other is named.
+const BAD_DAY: &str = include_str!("../days/badday.txt");
+
+/// Breaches that are printed; all of them are counted.
+const SHOWN_MOST: usize = 20;
+
+fn judged(broken: &[audit::Broken]) -> ExitCode {
+    broken.iter().take(SHOWN_MOST).for_each(|broken| println!("BROKEN {broken}"));
+    match broken.len() {
+        0 => println!("every rule was kept"),
+        n => println!("{n} breaches"),
+    }
+    if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn badday(
+    script: Option<&std::path::Path>,
+    seeds: std::ops::Range<u64>,
+    record: Option<&std::path::Path>,
+    gateway: Option<PathBuf>,
+) -> ExitCode {
+    let text = match script {
+        Some(path) => std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display())),
+        None => Ok(BAD_DAY.to_owned()),
+    };
+    let program = match gateway {
+        Some(path) => Ok(badday::Program { path, arguments: vec!["serve".to_owned()] }),
+        None => std::env::current_exe()
+            .map(|path| badday::Program { path, arguments: vec!["gateway".to_owned()] })
+            .map_err(|e| e.to_string()),
+    };
+    let ready = text.and_then(|text| script::read(&text)).and_then(|script| Ok((script, program?)));
+    let (script, program) = match ready {
+        Ok(ready) => ready,
+        Err(why) => {
+            eprintln!("quartzdrift-lab: {why}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let mut code = ExitCode::SUCCESS;
+    for seed in seeds {
+        let day = match badday::play(&script, &program, seed) {
+            Ok(day) => day,
+            Err(e) => {
+                eprintln!("quartzdrift-lab: the day could not be played: {e}");
+                return ExitCode::FAILURE;
+            }
+        };
+        let tally = &day.tally;
+        println!(
+            "seed {seed}: {} calls, {} finished, {} taken, {} pushed back, {} killed, {} other answers, \
+             {} without an answer; {} executions",
+            tally.asked,
+            tally.finished,
+            tally.taken,
+            tally.pushed_back,
+            tally.killed,
+            tally.other,
+            tally.no_answer,
+            day.executions
+        );
+        if let Some(path) = record
+            && let Err(e) = badday::save(&day, path)
+        {
+            eprintln!("quartzdrift-lab: {}: {e}", path.display());
+            code = ExitCode::FAILURE;
+        }
+        if judged(&day.broken) != ExitCode::SUCCESS {
+            code = ExitCode::FAILURE;
+        }
+    }
+    code
+}
+
+/// The settings of the demo; its workers are put in.
+const DEMO: &str = include_str!("demo.toml");
+
+fn demo(listen: SocketAddr, workers: usize) -> std::io::Result<()> {
+    let signals = serve::signals()?;
+    let mut standing = Vec::new();
+    let mut text = DEMO.replace("LISTEN", &listen.to_string());
+    for _ in 0..workers {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let worker = actor::spawn(any, |handle, address| {
+            worker::WorkerStandIn::new(handle, address, worker::Config::default())
+        })?;
+        text.push_str(&format!("\n[[workers]]\naddress = \"{}\"\n", worker.address));
+        standing.push(worker);
+    }
+    let settings = settings::read("demo.toml", &text).map_err(faults)?;
+    logs::start(&settings.log);
+    serve::run(settings, signals, |addresses| {
+        let Some(at) = addresses.first() else { return };
+        for worker in &standing {
+            println!("stand-in worker   http://{}", worker.address);
+        }
+        println!("gateway           http://{at}");
+        println!("functions         hello, add, echo, fail\n\nTry it:\n");
+        println!("  curl -s -d '{{\"name\": \"you\"}}' http://{at}/2015-03-31/functions/hello/invocations");
+        println!("  curl -si -H 'X-Amz-Invocation-Type: Event' -d '[1, 2]' \\");
+        println!("      http://{at}/2015-03-31/functions/add/invocations\n\nCtrl-C ends it.");
+        let _ = std::io::stdout().flush();
+    })
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/src/roster.rs
@@ -0,0 +1,171 @@
+//! A stand-in for the roster: HTTP service discovery JSON at `/workers/GATEWAY`, with changes pushed over
+//! server-sent events to those who accept them, as late as told.
+use crate::actor::StandIn;
+use crate::record::{Recorder, Seen};
+use calloop::LoopHandle;
+use quartzdrift_choice::interface::State;
+use quartzdrift_http::{Exchange, HasHttp, Headers, Http, HttpEvent, Limits, Response};
+use quartzdrift_roster::list::{self, Known, Listed};
+use quartzdrift_roster::stream;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Bytes that wait for a slow reader at most.
+const WAITING_MOST: usize = 8 << 20;
+
+pub enum Command {
+    /// What is so from now on; told as late as the lag says.
+    Set(Listed),
+    Lag(Duration),
+    /// Answers nothing and cuts its streams.
+    Stop(bool),
+    /// Answers with an empty list, whatever is so.
+    Empty(bool),
+}
+
+pub struct Roster {
+    http: Http<Roster>,
+    start: Instant,
+    recorder: Option<Recorder>,
+    lag: Duration,
+    late: VecDeque<(Duration, Listed)>,
+    told: BTreeMap<String, Listed>,
+    streams: Vec<(Exchange, u64)>,
+    /// What each gateway was told last of each worker: whether it is up.
+    heard: BTreeMap<(u64, String), bool>,
+    stopped: bool,
+    empty: bool,
+}
+
+impl HasHttp for Roster {
+    fn http(&mut self) -> &mut Http<Roster> {
+        &mut self.http
+    }
+}
+
+impl Roster {
+    pub fn new(
+        handle: LoopHandle<'static, Roster>,
+        workers: Vec<Listed>,
+        lag: Duration,
+        recorder: Option<Recorder>,
+    ) -> Roster {
+        Roster {
+            http: Http::new(handle, Limits { idle: Duration::from_secs(300), ..Limits::default() }),
+            start: Instant::now(),
+            recorder,
+            lag,
+            late: VecDeque::new(),
+            told: workers.into_iter().map(|one| (one.worker.clone(), one)).collect(),
+            streams: Vec::new(),
+            heard: BTreeMap::new(),
+            stopped: false,
+            empty: false,
+        }
+    }
+
+    /// Notes what a gateway learns by what is sent to it now.
+    fn note(&mut self, gateway: u64, workers: &[Listed]) {
+        for one in workers {
+            let up = one.state == State::Up;
+            let before = self.heard.insert((gateway, one.worker.clone()), up);
+            let Some(recorder) = &self.recorder else { continue };
+            let worker = one.worker.clone();
+            match (before, up) {
+                (Some(true) | None, false) => recorder.see(Seen::ToldAway { gateway, worker }),
+                (Some(false) | None, true) => recorder.see(Seen::ToldUp { gateway, worker }),
+                (Some(true), true) | (Some(false), false) => {}
+            }
+        }
+    }
+
+    fn listed(&self) -> Vec<Listed> {
+        if self.empty {
+            return Vec::new();
+        }
+        self.told.values().filter(|one| one.state != State::Gone).cloned().collect()
+    }
+
+    fn asked(&mut self, exchange: Exchange, target: &str, events: bool) {
+        let gateway = target.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+        if events {
+            // A process that asks for the stream knows nothing yet.
+            self.heard.retain(|(of, _), _| *of != gateway);
+        }
+        let workers = self.listed();
+        let text = list::write(&workers, &Known::default());
+        if !self.empty {
+            let all: Vec<Listed> = self.told.values().cloned().collect();
+            self.note(gateway, &all);
+        }
+        if events {
+            self.http.begin(exchange, 200, &Headers::new().with("content-type", "text/event-stream"));
+            let full = stream::write("full", &String::from_utf8_lossy(&text));
+            if self.http.push(exchange, &full, WAITING_MOST) {
+                self.streams.push((exchange, gateway));
+            }
+        } else {
+            let headers = Headers::new().with("content-type", "application/json");
+            self.http.answer(exchange, &Response { status: 200, headers, body: text });
+        }
+    }
+}
+
+impl StandIn for Roster {
+    type Command = Command;
+
+    fn event(&mut self, event: HttpEvent) {
+        match event {
+            HttpEvent::Request { exchange, request } => match request {
+                Ok(_) if self.stopped => self.http.cut(exchange),
+                Ok(request) => {
+                    let events = request.head.headers.get("accept") == Some("text/event-stream");
+                    self.asked(exchange, &request.head.target, events);
+                }
+                Err(_) => self.http.answer(exchange, &Response { status: 400, ..Response::default() }),
+            },
+            HttpEvent::Gone { exchange } => self.streams.retain(|(of, _)| *of != exchange),
+            HttpEvent::Answer { .. }
+            | HttpEvent::Part { .. }
+            | HttpEvent::End { .. }
+            | HttpEvent::Failed { .. } => {}
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Set(listed) => self.late.push_back((self.now() + self.lag, listed)),
+            Command::Lag(lag) => self.lag = lag,
+            Command::Stop(on) => {
+                self.stopped = on;
+                if on {
+                    std::mem::take(&mut self.streams).into_iter().for_each(|(of, _)| self.http.cut(of));
+                }
+            }
+            Command::Empty(on) => self.empty = on,
+        }
+    }
+
+    fn next_due(&self) -> Option<Duration> {
+        self.late.iter().map(|(at, _)| *at).min()
+    }
+
+    fn due(&mut self, now: Duration) {
+        while let Some((_, listed)) = self.late.pop_front_if(|(at, _)| *at <= now) {
+            self.told.insert(listed.worker.clone(), listed.clone());
+            if self.stopped || self.empty {
+                continue;
+            }
+            let change = list::write(std::slice::from_ref(&listed), &Known::default());
+            let change = stream::write("changes", &String::from_utf8_lossy(&change));
+            for (exchange, gateway) in self.streams.clone() {
+                self.note(gateway, std::slice::from_ref(&listed));
+                self.http.push(exchange, &change, WAITING_MOST);
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/src/script.rs
@@ -0,0 +1,301 @@
+//! Scripts of days: small text files, one thing a line, `#` begins a remark.
+//!
+//!     gateways 3
+//!     workers 8 cores=2 memory=1600 keep=8s cold=0.2 cold-for=4s fall=3 fall-window=1s queue=60
+//!     store capacity=8 limit=24 stops-at=0
+//!     roster lag=300ms
+//!     workload quote restartable rate=90 work=8ms limit=3s functions=12 memory=150 load=300ms lanes=2
+//!     workload stamp fingerprinted window=5s rate=40 ...     also run-once; `deferred`; `hang-up=0.01`
+//!     length 30s
+//!     at 4s crash worker 2          also start, silent, hang, well, drain, and with a figure:
+//!     at 4s errors worker 2 0.8     share; also lose; `slow worker 2 500ms`, `late worker 2 2s`
+//!     at 9s replace workers 0 5 every=2s   each is drained, then killed, then started a second later
+//!     at 5s roster lag 3s           also stop, go, empty, full
+//!     at 5s store slow 5            also refuse, serve
+//!     at 7s kill gateway 1          and start
+use quartzdrift_choice::interface::Effect;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Workload {
+    pub name: String,
+    pub effect: Effect,
+    pub window: Duration,
+    pub rate: f64,
+    pub work: Duration,
+    pub limit: Duration,
+    pub functions: usize,
+    pub memory_mb: f64,
+    pub load: Duration,
+    pub lanes: usize,
+    pub deferred: bool,
+    pub hang_up: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    Crash(usize),
+    Start(usize),
+    Silent(usize),
+    Hang(usize),
+    Well(usize),
+    Drain(usize),
+    Errors(usize, f64),
+    Lose(usize, f64),
+    Slow(usize, Duration),
+    Late(usize, Duration),
+    RosterLag(Duration),
+    RosterStop(bool),
+    RosterEmpty(bool),
+    StoreSlow(f64),
+    StoreRefuse(bool),
+    KillGateway(usize),
+    StartGateway(usize),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Script {
+    pub gateways: usize,
+    pub workers: usize,
+    pub cores: f64,
+    pub memory_mb: f64,
+    pub keep: Duration,
+    pub cold_from: f64,
+    pub cold_for: Duration,
+    pub fall_multiple: f64,
+    pub fall_window: Duration,
+    pub queue: usize,
+    pub store_capacity: f64,
+    pub store_limit: usize,
+    pub store_stops_at: usize,
+    pub lag: Duration,
+    pub workloads: Vec<Workload>,
+    pub length: Duration,
+    pub troubles: Vec<(Duration, Trouble)>,
+}
+
+struct Words<'a>(Vec<&'a str>);
+
+impl<'a> Words<'a> {
+    fn at(&self, n: usize) -> Result<&'a str, String> {
+        self.0.get(n).copied().ok_or_else(|| "the line is cut short".to_owned())
+    }
+
+    fn value(&self, key: &str) -> Option<&'a str> {
+        self.0.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+    }
+
+    fn number<T: std::str::FromStr>(&self, key: &str, or: T) -> Result<T, String> {
+        self.value(key).map_or(Ok(or), |v| v.parse().map_err(|_| format!("{key}={v} is no number")))
+    }
+
+    fn span(&self, key: &str, or: Duration) -> Result<Duration, String> {
+        self.value(key).map_or(Ok(or), span)
+    }
+
+    fn known(&self, keys: &[&str]) -> Result<(), String> {
+        let strange = |word: &&&str| word.split_once('=').is_some_and(|(key, _)| !keys.contains(&key));
+        self.0.iter().find(strange).map_or(Ok(()), |word| Err(format!("'{word}' says nothing here")))
+    }
+}
+
+pub fn span(text: &str) -> Result<Duration, String> {
+    humantime::parse_duration(text).map_err(|e| format!("'{text}' is no span of time: {e}"))
+}
+
+/// Reads a script; `Err` names the line.
+pub fn read(text: &str) -> Result<Script, String> {
+    let mut script = Script {
+        gateways: 1,
+        workers: 3,
+        cores: 2.0,
+        memory_mb: 2000.0,
+        keep: Duration::from_secs(8),
+        cold_from: 1.0,
+        cold_for: Duration::ZERO,
+        fall_multiple: 0.0,
+        fall_window: Duration::from_secs(1),
+        queue: 60,
+        store_capacity: 16.0,
+        store_limit: 64,
+        store_stops_at: 0,
+        lag: Duration::ZERO,
+        workloads: Vec::new(),
+        length: Duration::from_secs(10),
+        troubles: Vec::new(),
+    };
+    for (n, line) in text.lines().enumerate() {
+        let words = Words(line.split('#').next().unwrap_or("").split_whitespace().collect());
+        if !words.0.is_empty() {
+            script.line(&words).map_err(|why| format!("line {}: {why}", n + 1))?;
+        }
+    }
+    if script.workloads.is_empty() {
+        return Err("there is no workload".to_owned());
+    }
+    script.troubles.sort_by_key(|(at, _)| *at);
+    for (_, trouble) in &script.troubles {
+        let (of, most) = match trouble {
+            Trouble::KillGateway(n) | Trouble::StartGateway(n) => (*n, script.gateways),
+            Trouble::Crash(n)
+            | Trouble::Start(n)
+            | Trouble::Silent(n)
+            | Trouble::Hang(n)
+            | Trouble::Well(n)
+            | Trouble::Drain(n)
+            | Trouble::Errors(n, _)
+            | Trouble::Lose(n, _)
+            | Trouble::Slow(n, _)
+            | Trouble::Late(n, _) => (*n, script.workers),
+            Trouble::RosterLag(_)
+            | Trouble::RosterStop(_)
+            | Trouble::RosterEmpty(_)
+            | Trouble::StoreSlow(_)
+            | Trouble::StoreRefuse(_) => (0, 1),
+        };
+        if of >= most {
+            return Err(format!("{trouble:?} names one that is not there: they are counted from 0"));
+        }
+    }
+    Ok(script)
+}
+
+impl Script {
+    fn line(&mut self, words: &Words) -> Result<(), String> {
+        let count = || words.at(1)?.parse::<usize>().map_err(|_| "there is no count".to_owned());
+        match words.at(0)? {
+            "gateways" => self.gateways = count()?,
+            "workers" => {
+                words.known(&[
+                    "cores",
+                    "memory",
+                    "keep",
+                    "cold",
+                    "cold-for",
+                    "fall",
+                    "fall-window",
+                    "queue",
+                ])?;
+                self.workers = count()?;
+                self.cores = words.number("cores", self.cores)?;
+                self.memory_mb = words.number("memory", self.memory_mb)?;
+                self.keep = words.span("keep", self.keep)?;
+                self.cold_from = words.number("cold", self.cold_from)?;
+                self.cold_for = words.span("cold-for", self.cold_for)?;
+                self.fall_multiple = words.number("fall", self.fall_multiple)?;
+                self.fall_window = words.span("fall-window", self.fall_window)?;
+                self.queue = words.number("queue", self.queue)?;
+            }
+            "store" => {
+                words.known(&["capacity", "limit", "stops-at"])?;
+                self.store_capacity = words.number("capacity", self.store_capacity)?;
+                self.store_limit = words.number("limit", self.store_limit)?;
+                self.store_stops_at = words.number("stops-at", self.store_stops_at)?;
+            }
+            "roster" => {
+                words.known(&["lag"])?;
+                self.lag = words.span("lag", self.lag)?;
+            }
+            "workload" => self.workloads.push(workload(words)?),
+            "length" => self.length = span(words.at(1)?)?,
+            "at" => {
+                let at = span(words.at(1)?)?;
+                self.trouble(at, words)?;
+            }
+            other => return Err(format!("'{other}' begins no line")),
+        }
+        Ok(())
+    }
+
+    fn trouble(&mut self, at: Duration, words: &Words) -> Result<(), String> {
+        let index = |n: usize| words.at(n)?.parse::<usize>().map_err(|_| "there is no number".to_owned());
+        let share = || words.at(4)?.parse::<f64>().map_err(|_| "there is no share".to_owned());
+        let trouble = match (words.at(2)?, words.at(3)?) {
+            ("crash", "worker") => Trouble::Crash(index(4)?),
+            ("start", "worker") => Trouble::Start(index(4)?),
+            ("silent", "worker") => Trouble::Silent(index(4)?),
+            ("hang", "worker") => Trouble::Hang(index(4)?),
+            ("well", "worker") => Trouble::Well(index(4)?),
+            ("drain", "worker") => Trouble::Drain(index(4)?),
+            ("errors", "worker") => Trouble::Errors(index(4)?, number(words.at(5)?)?),
+            ("lose", "worker") => Trouble::Lose(index(4)?, number(words.at(5)?)?),
+            ("slow", "worker") => Trouble::Slow(index(4)?, span(words.at(5)?)?),
+            ("late", "worker") => Trouble::Late(index(4)?, span(words.at(5)?)?),
+            ("replace", "workers") => {
+                let every = words.span("every", Duration::from_secs(1))?;
+                for (n, worker) in (index(4)?..=index(5)?).enumerate() {
+                    let drained = at + every * n as u32;
+                    let second = Duration::from_secs(1);
+                    self.troubles.push((drained, Trouble::Drain(worker)));
+                    self.troubles.push((drained + second, Trouble::Crash(worker)));
+                    self.troubles.push((drained + 2 * second, Trouble::Start(worker)));
+                }
+                return Ok(());
+            }
+            ("roster", "lag") => Trouble::RosterLag(span(words.at(4)?)?),
+            ("roster", "stop") => Trouble::RosterStop(true),
+            ("roster", "go") => Trouble::RosterStop(false),
+            ("roster", "empty") => Trouble::RosterEmpty(true),
+            ("roster", "full") => Trouble::RosterEmpty(false),
+            ("store", "slow") => Trouble::StoreSlow(share()?),
+            ("store", "refuse") => Trouble::StoreRefuse(true),
+            ("store", "serve") => Trouble::StoreRefuse(false),
+            ("kill", "gateway") => Trouble::KillGateway(index(4)?),
+            ("start", "gateway") => Trouble::StartGateway(index(4)?),
+            (verb, of) => return Err(format!("'{verb} {of}' is no trouble")),
+        };
+        self.troubles.push((at, trouble));
+        Ok(())
+    }
+}
+
+fn number(text: &str) -> Result<f64, String> {
+    text.parse().map_err(|_| format!("'{text}' is no number"))
+}
+
+fn workload(words: &Words) -> Result<Workload, String> {
+    words.known(&["window", "rate", "work", "limit", "functions", "memory", "load", "lanes", "hang-up"])?;
+    let ms = Duration::from_millis;
+    Ok(Workload {
+        name: words.at(1)?.to_owned(),
+        effect: match words.at(2)? {
+            "restartable" => Effect::Restartable,
+            "fingerprinted" => Effect::Fingerprinted,
+            "run-once" => Effect::RunOnce,
+            other => return Err(format!("'{other}' is no effect")),
+        },
+        window: words.span("window", ms(5000))?,
+        rate: words.number("rate", 10.0)?,
+        work: words.span("work", ms(5))?,
+        limit: words.span("limit", ms(3000))?,
+        functions: words.number("functions", 1)?,
+        memory_mb: words.number("memory", 100.0)?,
+        load: words.span("load", ms(200))?,
+        lanes: words.number("lanes", 4)?,
+        deferred: words.0.contains(&"deferred"),
+        hang_up: words.number("hang-up", 0.0)?,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn scripts_are_read_and_mistakes_named() {
+        let script = read("gateways 2\nworkers 4 cores=1\nworkload a run-once rate=5\nat 2s replace workers 0 1 every=3s\nat 1s lose worker 3 0.5").unwrap();
+        assert_eq!((script.gateways, script.cores, script.workloads[0].effect), (2, 1.0, Effect::RunOnce));
+        assert_eq!(script.troubles[0], (Duration::from_secs(1), Trouble::Lose(3, 0.5)));
+        assert_eq!(script.troubles.len(), 7);
+        for (text, line) in [
+            ("workers x", "line 1"),
+            ("\nat 2s tickle worker 1", "line 2"),
+            ("workload a run-once rat=5", "line 1"),
+            ("workload a restartable\nat 1s crash worker 9", "counted from 0"),
+            ("workload a restartable\nat 1 crash worker 0", "line 2"),
+        ] {
+            let why = read(text).unwrap_err();
+            assert!(why.contains(line), "{text}: {why}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/src/worker.rs
@@ -0,0 +1,517 @@
+//! A stand-in worker on sockets: the invoke API on the worker's side, load reports, orders and probes, and faults.
+use crate::actor::StandIn;
+use crate::functions;
+use crate::model::{Found, Machine, Say, Spec, Worker};
+use crate::record::{Recorder, Seen};
+use calloop::LoopHandle;
+use quartzdrift_http::{
+    CallId, Exchange, HasHttp, Headers, Http, HttpEvent, Limits, Outgoing, Request, Response,
+};
+use quartzdrift_invoke::call::{self, Asked};
+use quartzdrift_invoke::models;
+use quartzdrift_invoke::orca::{self, Report};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Marks of fingerprinted jobs that a group of workers remembers, each with the time it was first met.
+pub type Marks = Arc<Mutex<HashMap<String, Instant>>>;
+
+#[derive(Clone)]
+pub struct Config {
+    pub machine: Machine,
+    pub specs: BTreeMap<String, Spec>,
+    pub store: Option<SocketAddr>,
+    /// Reports are made anew this often.
+    pub report_every: Duration,
+    pub marks: Option<Marks>,
+    pub window: Duration,
+    pub recorder: Option<Recorder>,
+    pub seed: u64,
+    /// Whether the first process is warm, as one that has run for long.
+    pub warm: bool,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            machine: Machine::default(),
+            specs: BTreeMap::new(),
+            store: None,
+            report_every: Duration::from_millis(100),
+            marks: None,
+            window: Duration::from_secs(5),
+            recorder: None,
+            seed: 0,
+            warm: true,
+        }
+    }
+}
+
+/// What goes wrong, from now on until told otherwise.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Faults {
+    /// Takes calls and answers none.
+    pub silent: bool,
+    /// Works on nothing and answers nothing.
+    pub hang: bool,
+    /// Share of calls that fail at once.
+    pub errors: f64,
+    /// Share of answers that are lost: the connection is closed in their place.
+    pub lost: f64,
+    /// Answers are held back so long.
+    pub slow: Duration,
+    /// Reports are so much older than they should be.
+    pub late_reports: Duration,
+}
+
+pub enum Command {
+    Faults(Faults),
+    /// As if killed outright.
+    Crash,
+    /// A new process at the same address.
+    Start,
+    Drain,
+}
+
+struct Open {
+    exchange: Exchange,
+    function: String,
+    payload: Rc<[u8]>,
+    mark: Option<String>,
+}
+
+pub struct WorkerStandIn {
+    http: Http<WorkerStandIn>,
+    address: SocketAddr,
+    start: Instant,
+    config: Config,
+    model: Worker,
+    life: u64,
+    up: bool,
+    faults: Faults,
+    open: HashMap<u64, Open>,
+    by_exchange: HashMap<Exchange, u64>,
+    orders: HashMap<u64, Exchange>,
+    fetches: HashMap<CallId, u64>,
+    local_fetches: Vec<(Duration, u64)>,
+    held_back: Vec<(Duration, u64, Exchange, Response)>,
+    reports: Vec<(Duration, Report)>,
+    chance: StdRng,
+    drawn: u64,
+}
+
+/// Which gateway sent this, as it says itself.
+fn scheduler(headers: &Headers) -> u64 {
+    headers.get("x-quartzdrift-scheduler").and_then(|n| n.parse().ok()).unwrap_or(u64::MAX)
+}
+
+/// The client's name for a job; of a record for a destination, that of the job it tells of.
+fn key(payload: &serde_json::Value) -> String {
+    let own = payload.get("key").and_then(|k| k.as_str());
+    let told = payload.get("requestPayload").and_then(|p| p.get("key")).and_then(|k| k.as_str());
+    own.map(str::to_owned).or(told.map(|key| format!("dead:{key}"))).unwrap_or_default()
+}
+
+impl HasHttp for WorkerStandIn {
+    fn http(&mut self) -> &mut Http<WorkerStandIn> {
+        &mut self.http
+    }
+}
+
+impl WorkerStandIn {
+    pub fn new(
+        handle: LoopHandle<'static, WorkerStandIn>,
+        address: SocketAddr,
+        config: Config,
+    ) -> WorkerStandIn {
+        let limits = Limits { idle: Duration::from_secs(300), ..Limits::default() };
+        let cold_for = if config.warm { Duration::ZERO } else { config.machine.cold_for };
+        let machine = Machine { cold_for, ..config.machine.clone() };
+        let mut worker = WorkerStandIn {
+            http: Http::new(handle, limits),
+            address,
+            start: Instant::now(),
+            model: Worker::new(machine, config.specs.clone(), Duration::ZERO),
+            life: 0,
+            up: true,
+            faults: Faults::default(),
+            open: HashMap::new(),
+            by_exchange: HashMap::new(),
+            orders: HashMap::new(),
+            fetches: HashMap::new(),
+            local_fetches: Vec::new(),
+            held_back: Vec::new(),
+            reports: Vec::new(),
+            chance: StdRng::seed_from_u64(config.seed),
+            drawn: 0,
+            config,
+        };
+        worker.started(cold_for);
+        worker
+    }
+
+    fn see(&self, seen: Seen) {
+        if let Some(recorder) = &self.config.recorder {
+            recorder.see(seen);
+        }
+    }
+
+    fn started(&mut self, cold_for: Duration) {
+        self.life += 1;
+        let Machine { cores, cold_from, .. } = self.config.machine;
+        let cold_us = cold_for.as_micros() as u64;
+        self.see(Seen::Started {
+            worker: self.address.to_string(),
+            life: self.life,
+            cores,
+            cold_from,
+            cold_us,
+        });
+    }
+
+    fn request(&mut self, exchange: Exchange, request: Request) {
+        let Request { head, body, .. } = request;
+        let path = head.target.split('?').next().unwrap_or("");
+        if let Some(asked) = models::read(path) {
+            let gateway = scheduler(&head.headers);
+            return self.repository(exchange, asked, &body, gateway);
+        }
+        let asked = call::read(&head.method, &head.target, |name| head.headers.get(name));
+        let Ok(Asked::Invoke(asked)) = asked else {
+            return self.say(exchange, 404, Headers::new(), Vec::new());
+        };
+        let function = asked.function.loaded();
+        self.drawn += 1;
+        let id = self.drawn;
+        let work = functions::work(&body).unwrap_or(self.model.spec(&function).work);
+        if self.config.recorder.is_some() {
+            let told: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+            self.see(Seen::Came {
+                worker: self.address.to_string(),
+                life: self.life,
+                call: id,
+                gateway: scheduler(&head.headers),
+                job: head.headers.get("x-amzn-requestid").unwrap_or("").to_owned(),
+                execution: head
+                    .headers
+                    .get("x-quartzdrift-execution")
+                    .and_then(|n| n.parse().ok())
+                    .unwrap_or(0),
+                key: key(&told),
+                work_us: work.as_micros() as u64,
+            });
+        }
+        let open = Open { exchange, function: function.clone(), payload: body.into(), mark: asked.mark };
+        self.open.insert(id, open);
+        self.by_exchange.insert(exchange, id);
+        if self.faults.silent || self.faults.hang {
+            return;
+        }
+        if self.faults.errors > 0.0 && self.chance.random_range(0.0..1.0) < self.faults.errors {
+            let headers = Headers::new().with("x-amzn-errortype", "ServiceException");
+            return self.finish(id, 500, headers, b"{}".to_vec());
+        }
+        if self.repeats(id) {
+            let headers = Headers::new().with("x-quartzdrift-repeat", "1");
+            return self.finish(id, 200, headers, b"{\"repeat\":true}".to_vec());
+        }
+        let now = self.now();
+        self.model.call(now, id, &function, work);
+        self.act();
+    }
+
+    /// Whether the group has met this mark within its window.
+    fn repeats(&mut self, id: u64) -> bool {
+        let (Some(marks), Some(mark)) = (&self.config.marks, self.open.get(&id).and_then(|o| o.mark.clone()))
+        else {
+            return false;
+        };
+        let mut marks = marks.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = self.config.window;
+        marks.retain(|_, met| met.elapsed() < window);
+        let met = marks.contains_key(&mark);
+        marks.entry(mark).or_insert_with(Instant::now);
+        met
+    }
+
+    fn repository(&mut self, exchange: Exchange, asked: models::Asked, body: &[u8], gateway: u64) {
+        if self.faults.silent || self.faults.hang {
+            return;
+        }
+        let now = self.now();
+        match asked {
+            models::Asked::Ready => {
+                let headers = self.with_report(Headers::new(), None);
+                self.say(exchange, if self.model.draining { 503 } else { 200 }, headers, Vec::new());
+            }
+            models::Asked::ModelReady(function) => {
+                let there = self.model.copies(&function) > 0;
+                self.say(exchange, if there { 200 } else { 404 }, Headers::new(), Vec::new());
+            }
+            models::Asked::Index => self.say(exchange, 200, Headers::new(), b"[]".to_vec()),
+            models::Asked::Unload(function) => {
+                self.model.unload(now, &function);
+                self.say(exchange, 200, Headers::new(), Vec::new());
+            }
+            models::Asked::Load(function) => {
+                let copies = models::copies(body).unwrap_or(1);
+                if copies > 0 {
+                    self.see(Seen::Ordered { worker: self.address.to_string(), gateway });
+                }
+                self.drawn += 1;
+                self.orders.insert(self.drawn, exchange);
+                self.model.order(now, self.drawn, &function, copies as usize);
+                self.act();
+            }
+        }
+    }
+
+    fn with_report(&mut self, headers: Headers, call: Option<(Found, usize)>) -> Headers {
+        let now = self.now();
+        let fresh = self.reports.last().is_some_and(|(at, _)| *at + self.config.report_every > now);
+        if !fresh {
+            let load = self.model.load();
+            let mut report = Report::default();
+            report.push("cpu_utilization", load.busy);
+            report.push("mem_utilization", load.memory_taken);
+            report.push("named_metrics.inflight", load.held as f64);
+            report.push("named_metrics.queue", load.queued as f64);
+            report.push("named_metrics.loads", load.loads as f64);
+            self.reports.push((now, report));
+            let oldest = now.saturating_sub(self.faults.late_reports + self.config.report_every * 4);
+            self.reports.retain(|(at, _)| *at >= oldest);
+        }
+        let told = now.saturating_sub(self.faults.late_reports);
+        let report = self.reports.iter().rev().find(|(at, _)| *at <= told).or(self.reports.first());
+        let mut report = report.map(|(_, report)| report.clone()).unwrap_or_default();
+        if let Some((found, crowd)) = call {
+            report.push("named_metrics.found", f64::from(found as u8));
+            report.push("named_metrics.crowd", crowd as f64);
+        }
+        headers.with(orca::FIELD, &report.text())
+    }
+
+    fn act(&mut self) {
+        for say in self.model.says() {
+            match say {
+                Say::Ran { call, found, crowd, wanted } => self.ran(call, found, crowd, wanted),
+                Say::Full { call } => {
+                    self.see(Seen::Refused { worker: self.address.to_string(), life: self.life, call });
+                    let headers = Headers::new().with("x-amzn-errortype", "TooManyRequestsException");
+                    let headers = self.with_report(headers, None);
+                    self.finish(call, 429, headers, b"{\"Type\":\"User\",\"message\":\"full\"}".to_vec());
+                }
+                Say::Missed { call } => {
+                    self.see(Seen::Refused { worker: self.address.to_string(), life: self.life, call });
+                    let headers = Headers::new().with("x-amzn-errortype", "ResourceNotFoundException");
+                    let headers = self.with_report(headers, Some((Found::LoadFailed, 0)));
+                    self.finish(
+                        call,
+                        404,
+                        headers,
+                        b"{\"Type\":\"User\",\"message\":\"not loaded\"}".to_vec(),
+                    );
+                }
+                Say::Fetch { load, function, takes } => self.fetch(load, &function, takes),
+                Say::Stands { order, copies, enough } => {
+                    if let Some(exchange) = self.orders.remove(&order) {
+                        let status = if enough { 200 } else { 429 };
+                        let headers = Headers::new().with("content-type", "application/json");
+                        self.say(exchange, status, headers, models::order(copies as u32));
+                    }
+                }
+                Say::Fell => {
+                    self.see(Seen::Fell { worker: self.address.to_string() });
+                    self.crash();
+                    return;
+                }
+            }
+        }
+    }
+
+    fn ran(&mut self, call: u64, found: Found, crowd: usize, wanted: bool) {
+        self.see(Seen::Began { worker: self.address.to_string(), life: self.life, call });
+        let Some(open) = self.open.get(&call) else { return };
+        if !wanted {
+            self.open.remove(&call);
+            return;
+        }
+        let ran = functions::run(&open.function, &open.payload, &self.address.to_string());
+        let mut headers = Headers::new().with("content-type", "application/json");
+        if ran.error {
+            headers.push("x-amz-function-error", "Unhandled");
+        }
+        let headers = self.with_report(headers, Some((found, crowd)));
+        self.finish(call, 200, headers, ran.body);
+    }
+
+    fn fetch(&mut self, load: u64, function: &str, takes: Duration) {
+        let Some(store) = self.config.store else {
+            let at = self.now() + takes;
+            return self.local_fetches.push((at, load));
+        };
+        let request = Outgoing {
+            method: "GET",
+            target: format!("/{function}?us={}", takes.as_micros()),
+            headers: Headers::new(),
+            body: Rc::from([]),
+            connect_timeout: Duration::from_secs(2),
+            streams: false,
+        };
+        let call = self.http.call(store, request);
+        self.fetches.insert(call, load);
+    }
+
+    /// Answers a call that was taken, perhaps late or not at all.
+    fn finish(&mut self, id: u64, status: u16, headers: Headers, body: Vec<u8>) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let answer = Response { status, headers, body };
+        if self.faults.silent || self.faults.hang {
+            self.open.insert(id, open);
+            return;
+        }
+        if self.faults.lost > 0.0 && self.chance.random_range(0.0..1.0) < self.faults.lost {
+            self.http.cut(open.exchange);
+            return self.over(id, open.exchange);
+        }
+        if self.faults.slow > Duration::ZERO {
+            let at = self.now() + self.faults.slow;
+            return self.held_back.push((at, id, open.exchange, answer));
+        }
+        self.http.answer(open.exchange, &answer);
+        self.over(id, open.exchange);
+    }
+
+    fn over(&mut self, id: u64, exchange: Exchange) {
+        if self.by_exchange.remove(&exchange).is_some() {
+            self.see(Seen::Over { worker: self.address.to_string(), life: self.life, call: id });
+        }
+    }
+
+    fn say(&mut self, exchange: Exchange, status: u16, headers: Headers, body: Vec<u8>) {
+        self.http.answer(exchange, &Response { status, headers, body });
+    }
+
+    fn crash(&mut self) {
+        self.up = false;
+        let open: Vec<(Exchange, u64)> = self.by_exchange.drain().collect();
+        for (_, id) in open {
+            self.see(Seen::Over { worker: self.address.to_string(), life: self.life, call: id });
+        }
+        self.http.close_all();
+        (self.open, self.orders, self.fetches) = Default::default();
+        (self.local_fetches, self.held_back, self.reports) = Default::default();
+        self.model = Worker::new(self.config.machine.clone(), self.config.specs.clone(), self.now());
+    }
+
+    fn restart(&mut self) {
+        if self.up {
+            self.crash();
+        }
+        let now = self.now();
+        self.model = Worker::new(self.config.machine.clone(), self.config.specs.clone(), now);
+        self.faults = Faults::default();
+        self.started(self.config.machine.cold_for);
+        match quartzdrift_http::bind(self.address).and_then(|listener| self.http.listen(listener)) {
+            Ok(()) => self.up = true,
+            Err(e) => eprintln!("worker {} cannot start again: {e}", self.address),
+        }
+    }
+}
+
+impl StandIn for WorkerStandIn {
+    type Command = Command;
+
+    fn event(&mut self, event: HttpEvent) {
+        match event {
+            HttpEvent::Request { exchange, request: Ok(request) } => self.request(exchange, request),
+            HttpEvent::Request { exchange, request: Err(_) } => {
+                self.say(exchange, 400, Headers::new(), Vec::new())
+            }
+            HttpEvent::Gone { exchange } => {
+                let Some(&id) = self.by_exchange.get(&exchange) else { return };
+                self.over(id, exchange);
+                self.held_back.retain(|(_, held, ..)| *held != id);
+                if !self.faults.hang {
+                    let now = self.now();
+                    self.model.cancel(now, id);
+                    self.act();
+                }
+            }
+            HttpEvent::Answer { call, answer } => {
+                if let Some(load) = self.fetches.remove(&call) {
+                    let now = self.now();
+                    self.model.fetched(now, load, answer.status == 200);
+                    self.act();
+                }
+            }
+            HttpEvent::Failed { call, .. } => {
+                if let Some(load) = self.fetches.remove(&call) {
+                    let now = self.now();
+                    self.model.fetched(now, load, false);
+                    self.act();
+                }
+            }
+            HttpEvent::Part { .. } | HttpEvent::End { .. } => {}
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Faults(faults) => {
+                let woke = self.faults.silent && !faults.silent || self.faults.hang && !faults.hang;
+                self.faults = faults;
+                // Calls that came meanwhile were never worked on and never will be; their callers time out.
+                if woke {
+                    let now = self.now();
+                    self.model.due(now);
+                    self.act();
+                }
+            }
+            Command::Crash => self.crash(),
+            Command::Start => self.restart(),
+            Command::Drain => self.model.draining = true,
+        }
+    }
+
+    fn next_due(&self) -> Option<Duration> {
+        if !self.up {
+            return None;
+        }
+        let model = self.model.next_due().filter(|_| !self.faults.hang);
+        let fetches = self.local_fetches.iter().map(|(at, _)| *at).min();
+        let held = self.held_back.iter().map(|(at, ..)| *at).min();
+        [model, fetches, held].into_iter().flatten().min()
+    }
+
+    fn due(&mut self, now: Duration) {
+        if !self.up {
+            return;
+        }
+        if !self.faults.hang {
+            let (over, left) =
+                std::mem::take(&mut self.local_fetches).into_iter().partition(|(at, _)| *at <= now);
+            self.local_fetches = left;
+            let over: Vec<(Duration, u64)> = over;
+            over.into_iter().for_each(|(_, load)| self.model.fetched(now, load, true));
+            self.model.due(now);
+            self.act();
+        }
+        let (over, left): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.held_back).into_iter().partition(|(at, ..)| *at <= now);
+        self.held_back = left;
+        for (_, id, exchange, answer) in over {
+            self.http.answer(exchange, &answer);
+            self.over(id, exchange);
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift/src/gateway/clients.rs
@@ -0,0 +1,222 @@
+//! Calls of clients: read, made into jobs, and answered.
+use super::{Gateway, Origin, Work};
+use crate::settings::Function;
+use quartzdrift_choice::interface::Effect;
+use quartzdrift_deferred::Submitted;
+use quartzdrift_desk::{FinalAnswer, NewJob, Why};
+use quartzdrift_http::{BadRequest, Exchange, Headers, Request, Response};
+use quartzdrift_invoke::answer::{self, KilledFor, Problem, Said};
+use quartzdrift_invoke::call::{self, Asked, Call, Mode};
+use std::rc::Rc;
+use std::time::Duration;
+use uuid::Uuid;
+
+/// Fields of a worker's answer that go on to the client.
+const PASSED_ON: [&str; 4] =
+    ["content-type", "x-amz-function-error", "x-amz-executed-version", "x-amz-log-result"];
+/// Told to those who come while the gateway stops: another instance is a moment away.
+const STOPPING: Duration = Duration::from_secs(1);
+
+pub(super) fn response(said: Said, id: Option<Uuid>) -> Response {
+    let mut headers = Headers::new();
+    said.fields.iter().for_each(|(name, value)| headers.push(name, value));
+    if let Some(id) = id {
+        headers.push("x-amzn-requestid", &id.to_string());
+    }
+    Response { status: said.status, headers, body: said.body }
+}
+
+fn problem(bad: BadRequest) -> Problem {
+    match bad {
+        BadRequest::HeadTooLarge => Problem::HeadTooLarge,
+        BadRequest::BodyTooLarge => Problem::TooLarge,
+        BadRequest::Malformed => Problem::Malformed,
+        BadRequest::Coding => Problem::Coding,
+        BadRequest::TooSlow => Problem::TooSlow,
+    }
+}
+
+impl Gateway {
+    pub(super) fn request(&mut self, exchange: Exchange, request: Result<Request, BadRequest>) {
+        let id = self.draw_id();
+        let said = match request.map_err(problem).and_then(|request| self.take(exchange, request, id)) {
+            Ok(None) => return,
+            Ok(Some(said)) => said,
+            Err(problem) => {
+                self.counts.refused += 1;
+                tracing::debug!(%id, ?problem, "no job");
+                problem.said()
+            }
+        };
+        let mut answer = response(said, Some(id));
+        if self.stopping.is_some() {
+            answer.headers.push("connection", "close");
+        }
+        self.http.answer(exchange, &answer);
+    }
+
+    /// Makes a request into a job; `Some` where it is answered at once.
+    fn take(&mut self, exchange: Exchange, request: Request, id: Uuid) -> Result<Option<Said>, Problem> {
+        let Request { head, body, .. } = request;
+        let call = match call::read(&head.method, &head.target, |name| head.headers.get(name))? {
+            Asked::Ready => {
+                let ready = self.stopping.is_none() && self.desk.workers_up() > 0;
+                return Ok(Some(answer::ready(ready)));
+            }
+            Asked::Invoke(call) => call,
+        };
+        if self.settings.require_json && !call::is_json(&body) {
+            return Err(Problem::BadContent("the payload is not JSON"));
+        }
+        let name = call.function.loaded();
+        let function = self.settings.function(&name).ok_or(Problem::NoSuchFunction)?;
+        let customer = self.customer(&head.headers)?;
+        if call.mode == Mode::DryRun {
+            return Ok(Some(answer::dry_run()));
+        }
+        if self.stopping.is_some() {
+            return Err(Problem::Busy(Some(STOPPING)));
+        }
+        self.counts.taken += 1;
+        if call.mode == Mode::Deferred {
+            return self.defer(call, &name, &function, customer, body).map(|()| Some(answer::taken()));
+        }
+        let workload = &self.settings.choice.workloads[function.workload as usize];
+        let limit = workload.time_limit.unwrap_or(Duration::MAX);
+        let left = call.left_ms.map_or(limit, |ms| limit.min(Duration::from_millis(ms)));
+        // A fingerprinted job that came without a mark is marked by its own identity, for further executions.
+        let mark = call.mark.or_else(|| (workload.effect == Effect::Fingerprinted).then(|| id.to_string()));
+        let work = Work {
+            id,
+            origin: Origin::Client(exchange),
+            payload: body.into(),
+            context: call.context,
+            mark,
+            customer: customer.1,
+            streams: workload.streams,
+        };
+        let is_retry = head.headers.get("x-quartzdrift-retry").is_some();
+        let new = new_job(&function, name.into(), customer.0, left, is_retry, Rc::new(work));
+        match self.desk.job(self.now(), new) {
+            Ok(job) => {
+                self.exchanges.insert(exchange, job);
+                self.carry_out();
+                Ok(None)
+            }
+            Err(_) => Err(Problem::Busy(None)),
+        }
+    }
+
+    /// The customer's place in the settings, and its name for workers.
+    fn customer(&self, headers: &Headers) -> Result<(u32, Option<String>), Problem> {
+        let Some(field) = &self.settings.customer_field else { return Ok((0, None)) };
+        let Some(told) = headers.get(field) else {
+            return Err(Problem::BadParameter("the field that tells the customer is missing"));
+        };
+        match self.settings.customers.get(told) {
+            Some(&at) => Ok((at, Some(told.to_owned()))),
+            None => Err(Problem::BadParameter("the customer is in no settings")),
+        }
+    }
+
+    fn defer(
+        &mut self,
+        call: Call,
+        name: &str,
+        function: &Function,
+        customer: (u32, Option<String>),
+        body: Vec<u8>,
+    ) -> Result<(), Problem> {
+        let job = self.submitted(name, function, customer.0, body.into());
+        let job = Submitted { context: call.context, mark: call.mark.or(job.mark), ..job };
+        match self.submit(job) {
+            Ok(_) => Ok(()),
+            Err(why) => {
+                tracing::warn!(?why, function = name, "a deferred job was not taken: no room");
+                Err(Problem::Busy(Some(self.settings.deferred.first)))
+            }
+        }
+    }
+
+    pub(super) fn client_gone(&mut self, exchange: Exchange) {
+        let Some(job) = self.exchanges.remove(&exchange) else { return };
+        let streams = self.streaming_call(job);
+        self.desk.client_gone(self.now(), job);
+        self.carry_out();
+        if let Some(execution) = streams {
+            // Nobody reads on, and no limit would end it.
+            self.drop_execution(job, execution);
+            let ended = quartzdrift_desk::Ended::silent(quartzdrift_choice::interface::Outcome::Cancelled);
+            self.desk.ended(self.now(), job, execution, ended);
+            self.carry_out();
+        }
+    }
+
+    pub(super) fn answer_client(
+        &mut self,
+        exchange: Exchange,
+        work: &Work,
+        answer: FinalAnswer,
+        said: Option<Response>,
+    ) {
+        self.exchanges.remove(&exchange);
+        let said = match answer {
+            FinalAnswer::Finished => match said {
+                Some(worker) => {
+                    let mut headers = Headers::new();
+                    let passed = worker.headers.iter().filter(|(name, _)| PASSED_ON.contains(name));
+                    passed.for_each(|(name, value)| headers.push(name, value));
+                    headers.push("x-amzn-requestid", &work.id.to_string());
+                    if headers.get("x-amz-executed-version").is_none() {
+                        headers.push("x-amz-executed-version", "$LATEST");
+                    }
+                    Response { status: 200, headers, body: worker.body }
+                }
+                // A streamed answer went out part by part.
+                None => return,
+            },
+            FinalAnswer::PushedBack { come_back, .. } => {
+                response(answer::pushed_back(come_back), Some(work.id))
+            }
+            FinalAnswer::Killed { why } => {
+                let why = match why {
+                    Why::Time => KilledFor::Time,
+                    Why::Doubt => KilledFor::Doubt,
+                    Why::Stop => KilledFor::Stop,
+                };
+                response(answer::killed(why), Some(work.id))
+            }
+            FinalAnswer::Expired => return,
+        };
+        let closing = self.stopping.is_some();
+        let said = match closing {
+            true => Response { headers: said.headers.with("connection", "close"), ..said },
+            false => said,
+        };
+        self.http.answer(exchange, &said);
+    }
+}
+
+/// A job for the desk, of a function as the settings know it.
+pub(super) fn new_job(
+    function: &Function,
+    name: Rc<str>,
+    customer: u32,
+    left: Duration,
+    is_retry: bool,
+    payload: Rc<Work>,
+) -> NewJob<Rc<Work>> {
+    NewJob {
+        workload: function.workload,
+        customer,
+        function: name,
+        left,
+        work_hint: function.work,
+        memory_mb: function.memory_mb,
+        lanes: function.lanes,
+        load_hint: function.load,
+        is_retry,
+        writes: function.writes,
+        payload,
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift/src/gateway/fronts.rs
@@ -0,0 +1,222 @@
+//! The fronts beside clients' calls: deferred jobs and timers. They make jobs and receive final answers.
+use super::clients::new_job;
+use super::{Gateway, Origin, Use, Work};
+use crate::settings::{Function, destination};
+use quartzdrift_choice::interface::Effect;
+use quartzdrift_deferred::{Calls, Destination, End, Id, Refused, Step, Submitted};
+use quartzdrift_desk::FinalAnswer;
+use quartzdrift_http::{Headers, Outgoing, Response};
+use quartzdrift_timers::Note;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Tries of a record at an HTTP destination.
+const DESTINATION_TRIES: u32 = 3;
+/// Records on their way to HTTP destinations at a time; more are given up with a log line.
+const DESTINATIONS_MOST: usize = 1024;
+/// Bytes of payloads in a record; longer ones are left out of it.
+const RECORD_MOST: usize = 128 << 10;
+
+impl Gateway {
+    pub(super) fn submitted(
+        &mut self,
+        name: &str,
+        function: &Function,
+        customer: u32,
+        payload: Rc<[u8]>,
+    ) -> Submitted {
+        let workload = &self.settings.choice.workloads[function.workload as usize];
+        let (effect, window) = (workload.effect, workload.window.unwrap_or_default());
+        let or = |own: &Option<Destination>, all: &Option<Destination>| own.clone().or_else(|| all.clone());
+        let on_success = or(&function.on_success, &self.settings.on_success);
+        let on_failure = or(&function.on_failure, &self.settings.on_failure);
+        // One mark for all tries: workers know the second by it.
+        let mark = (effect == Effect::Fingerprinted).then(|| self.draw_id().to_string());
+        let (function, context, timer, hops) = (name.to_owned(), None, None, 0);
+        Submitted {
+            function,
+            customer,
+            effect,
+            window,
+            payload,
+            context,
+            mark,
+            on_success,
+            on_failure,
+            timer,
+            hops,
+        }
+    }
+
+    pub(super) fn submit(&mut self, job: Submitted) -> Result<Id, Refused> {
+        let id = self.deferred.submit(self.now(), job)?;
+        self.counts.deferred += 1;
+        Ok(id)
+    }
+
+    pub(super) fn fronts_due(&mut self, now: Duration) {
+        if self.stopping.is_none() && self.timers.next_due().is_some_and(|at| at <= now) {
+            self.fire(now);
+        }
+        while let Some((id, job, _, left)) = self.deferred.take_due(now) {
+            self.try_deferred(id, job, left);
+        }
+    }
+
+    fn fire(&mut self, now: Duration) {
+        let (firings, notes) = self.timers.due(now);
+        for note in notes {
+            match note {
+                Note::Missed { timer, count } => tracing::warn!(timer, count, "firings were missed"),
+                Note::Overlapped { timer, at } => {
+                    tracing::warn!(timer, ?at, "not fired: its last job is not over")
+                }
+            }
+        }
+        for firing in firings {
+            let of = self.settings.timers.iter().find(|(timer, _)| timer.name == firing.timer);
+            let payload = of.map_or_else(|| Rc::from([]), |(_, payload)| payload.clone());
+            let Some(function) = self.settings.function(&firing.function) else { continue };
+            let job = self.submitted(&firing.function, &function, 0, payload);
+            let job = Submitted { timer: Some(firing.timer.clone()), ..job };
+            self.counts.fired += 1;
+            if let Err(why) = self.submit(job) {
+                tracing::error!(timer = firing.timer, ?why, "a firing was lost: no room for deferred jobs");
+                self.timers.over(&firing.timer);
+            }
+        }
+    }
+
+    fn try_deferred(&mut self, id: Id, job: Submitted, left: Option<Duration>) {
+        let Some(function) = self.settings.function(&job.function) else {
+            return self.step(id, End::Killed, None);
+        };
+        let limit = self.settings.choice.workloads[function.workload as usize].time_limit;
+        let limit = limit.unwrap_or(Duration::MAX);
+        let work = Work {
+            id: self.draw_id(),
+            origin: Origin::Deferred(id),
+            payload: job.payload,
+            context: job.context,
+            mark: job.mark,
+            customer: self.settings.choice.customers.get(job.customer as usize).map(|c| c.name.clone()),
+            streams: false,
+        };
+        let left = left.map_or(limit, |left| left.min(limit));
+        let new = new_job(&function, job.function.into(), job.customer, left, false, Rc::new(work));
+        match self.desk.job(self.now(), new) {
+            Ok(_) => self.carry_out(),
+            Err(_) => self.step(id, End::PushedBack { come_back: None, ran: None }, None),
+        }
+    }
+
+    pub(super) fn try_ended(&mut self, id: Id, answer: FinalAnswer, said: Option<Response>) {
+        let end = match answer {
+            FinalAnswer::Finished => {
+                let failed =
+                    said.as_ref().is_some_and(|said| said.headers.get("x-amz-function-error").is_some());
+                End::Finished { function_error: failed }
+            }
+            FinalAnswer::PushedBack { come_back, ran } => End::PushedBack { come_back, ran },
+            FinalAnswer::Killed { .. } | FinalAnswer::Expired => End::Killed,
+        };
+        self.step(id, end, said);
+    }
+
+    fn step(&mut self, id: Id, end: End, said: Option<Response>) {
+        match self.deferred.ended(self.now(), id, end) {
+            Some(Step::Again { at }) => tracing::debug!(id = id.0, ?at, "deferred job waits again"),
+            Some(Step::Over(calls)) => {
+                if let Some(timer) = &calls.job.timer {
+                    self.timers.over(timer);
+                }
+                if calls.condition != "Success" {
+                    let function = &calls.job.function;
+                    tracing::warn!(id = id.0, %function, condition = calls.condition, "deferred job is dead");
+                }
+                self.destination(&calls, said);
+            }
+            None => {}
+        }
+    }
+
+    fn destination(&mut self, calls: &Calls, said: Option<Response>) {
+        let Some(to) = &calls.to else { return };
+        let record: Rc<[u8]> = record(calls, said.as_ref(), self.now()).into();
+        match to {
+            Destination::Function(name) => {
+                let Some(function) = self.settings.function(name) else { return };
+                let job = self.submitted(name, &function, calls.job.customer, record);
+                let job = Submitted { hops: calls.job.hops + 1, ..job };
+                if let Err(why) = self.submit(job) {
+                    tracing::error!(to = %name, ?why, "a record for a destination was lost: no room");
+                }
+            }
+            Destination::Url(url) => match destination(url) {
+                Ok(to) => self.tell_destination(DESTINATION_TRIES, to, record),
+                Err(why) => tracing::error!(url, why, "a record for a destination was lost"),
+            },
+        }
+    }
+
+    fn tell_destination(&mut self, left: u32, to: (SocketAddr, String), record: Rc<[u8]>) {
+        let on_their_way = self.calls.values().filter(|of| matches!(of, Use::Destination { .. })).count();
+        if left == 0 || on_their_way >= DESTINATIONS_MOST {
+            return tracing::error!(to = %to.0, target = to.1, "a record for a destination was lost");
+        }
+        let request = Outgoing {
+            method: "POST",
+            target: to.1.clone(),
+            headers: Headers::new().with("content-type", "application/json"),
+            body: record.clone(),
+            connect_timeout: self.settings.connect_timeout,
+            streams: false,
+        };
+        let call = self.http.call(to.0, request);
+        self.calls.insert(call, Use::Destination { left: left - 1, to, record });
+    }
+
+    pub(super) fn destination_failed(&mut self, left: u32, to: (SocketAddr, String), record: Rc<[u8]>) {
+        self.tell_destination(left, to, record);
+    }
+
+    /// Names what this instance held and nobody will hear of again.
+    pub(super) fn say_lost(&self) {
+        let left: Vec<_> = self.deferred.left().collect();
+        if left.is_empty() {
+            return;
+        }
+        tracing::error!(jobs = left.len(), "deferred jobs are lost with this process");
+        for (id, job, out) in left {
+            tracing::error!(id = id.0, function = %job.function, may_have_run = out, "lost deferred job");
+        }
+    }
+}
+
+/// The published record of an asynchronous invocation.
+fn record(calls: &Calls, said: Option<&Response>, now: Duration) -> Vec<u8> {
+    let body = |bytes: &[u8]| match bytes.len() <= RECORD_MOST {
+        true => serde_json::from_slice(bytes).unwrap_or(Value::Null),
+        false => Value::Null,
+    };
+    let time = humantime::format_rfc3339_millis(std::time::UNIX_EPOCH + now).to_string();
+    let error = said.and_then(|said| said.headers.get("x-amz-function-error"));
+    let response = said
+        .map(|said| json!({"statusCode": said.status, "executedVersion": "$LATEST", "functionError": error}));
+    let record = json!({
+        "version": "1.0",
+        "timestamp": time,
+        "requestContext": {
+            "requestId": calls.id.0.to_string(),
+            "functionArn": calls.job.function,
+            "condition": calls.condition,
+            "approximateInvokeCount": calls.tries,
+        },
+        "requestPayload": body(&calls.job.payload),
+        "responseContext": response,
+        "responsePayload": said.map(|said| body(&said.body)),
+    });
+    record.to_string().into_bytes()
+}
--- /dev/null
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -0,0 +1,336 @@
+//! The state of the event loop: what comes from the sockets goes to the desk, and what the desk says is done.
+//!
+//! * `clients`: calls become jobs, final answers go back.
+//! * `workers`: executions, orders and probes.
+//! * `roster`: where the list of workers comes from.
+//! * `fronts`: deferred jobs and timers.
+mod clients;
+mod fronts;
+mod roster;
+mod workers;
+
+use crate::saved::{self, Saver};
+use crate::settings::Settings;
+use calloop::LoopHandle;
+use quartzdrift_choice::interface::{JobId, ListForm, Outcome};
+use quartzdrift_deferred::{Id, Memory, Queue};
+use quartzdrift_desk::{Desk, FinalAnswer, Output};
+use quartzdrift_http::{CallId, Exchange, HasHttp, Http, HttpEvent, Response};
+use quartzdrift_roster::belief::Belief;
+use quartzdrift_roster::list;
+use quartzdrift_timers::Timers;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use uuid::Uuid;
+
+/// The loop looks up at least this often: a clock that another process sets ahead is noticed.
+const LOOK_UP: Duration = Duration::from_secs(1);
+
+/// Which front a job came from, and where its final answer goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    Client(Exchange),
+    Deferred(Id),
+}
+
+/// What is sent to workers for a job; the desk carries it without looking.
+#[derive(Debug)]
+pub struct Work {
+    pub id: Uuid,
+    pub origin: Origin,
+    pub payload: Rc<[u8]>,
+    pub context: Option<String>,
+    pub mark: Option<String>,
+    pub customer: Option<String>,
+    pub streams: bool,
+}
+
+/// What a call of ours is for.
+enum Use {
+    Execution {
+        job: JobId,
+        execution: u32,
+        work: Rc<Work>,
+        worker: Rc<str>,
+        began: bool,
+    },
+    Probe {
+        order: u64,
+    },
+    Load {
+        order: u64,
+    },
+    /// No news of it is wanted.
+    Unload,
+    List,
+    Stream,
+    Destination {
+        left: u32,
+        to: (SocketAddr, String),
+        record: Rc<[u8]>,
+    },
+}
+
+/// Counts since the start, for the last word and for whoever asks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub finished: u64,
+    pub pushed_back: u64,
+    pub killed: u64,
+    pub expired: u64,
+    pub refused: u64,
+    pub executions: u64,
+    pub deferred: u64,
+    pub fired: u64,
+}
+
+pub struct Gateway {
+    settings: Rc<Settings>,
+    zero: Instant,
+    /// Time since 1970 at `zero`; the clock from there on is steady.
+    epoch: Duration,
+    /// Drawn anew at each start, whatever the seed: names of jobs are never used twice.
+    identity: u64,
+    drawn: u64,
+    http: Http<Gateway>,
+    desk: Desk<Rc<Work>>,
+    calls: HashMap<CallId, Use>,
+    executions: HashMap<(JobId, u32), CallId>,
+    orders: HashMap<u64, CallId>,
+    exchanges: HashMap<Exchange, JobId>,
+    /// The answer of the execution that is being ended.
+    in_hand: Option<Response>,
+    deferred: Queue<Memory>,
+    timers: Timers,
+    belief: Belief,
+    roster: roster::Source,
+    saver: Option<Saver>,
+    stopping: Option<Duration>,
+    pub counts: Counts,
+}
+
+impl HasHttp for Gateway {
+    fn http(&mut self) -> &mut Http<Gateway> {
+        &mut self.http
+    }
+}
+
+impl Gateway {
+    /// A gateway with the list of workers that it last saved, or the one of the settings.
+    pub fn new(settings: Settings, handle: LoopHandle<'static, Gateway>) -> std::io::Result<Gateway> {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let seed = settings.seed.unwrap_or_else(rand::random);
+        let saver = settings.state.clone().map(Saver::start).transpose()?;
+        let timers = settings.timers.iter().map(|(timer, _)| timer.clone()).collect();
+        let settings = Rc::new(settings);
+        let mut gateway = Gateway {
+            zero: Instant::now(),
+            epoch,
+            identity: rand::random(),
+            drawn: 0,
+            http: Http::new(handle, settings.limits.clone()),
+            desk: Desk::new(&settings.choice, seed),
+            calls: HashMap::new(),
+            executions: HashMap::new(),
+            orders: HashMap::new(),
+            exchanges: HashMap::new(),
+            in_hand: None,
+            deferred: Queue::new(settings.deferred.clone(), Memory, seed),
+            timers: Timers::new(timers, seed, epoch),
+            belief: Belief::default(),
+            roster: roster::Source::new(&settings),
+            saver,
+            stopping: None,
+            counts: Counts::default(),
+            settings,
+        };
+        gateway.first_list();
+        Ok(gateway)
+    }
+
+    fn first_list(&mut self) {
+        let saved = self.settings.state.as_deref().map(saved::last);
+        let workers = match saved {
+            Some(Ok(Some(bytes))) => match list::read(&bytes, &self.settings.known) {
+                Ok(saved) if !saved.workers.is_empty() => saved.workers,
+                Ok(_) => self.settings.workers.clone(),
+                Err(why) => {
+                    tracing::warn!(why, "the saved list of workers is set aside");
+                    self.settings.workers.clone()
+                }
+            },
+            Some(Err(e)) => {
+                tracing::warn!(error = %e, "the saved list of workers cannot be read");
+                self.settings.workers.clone()
+            }
+            Some(Ok(None)) | None => self.settings.workers.clone(),
+        };
+        self.belief.changes(&workers);
+        self.give_list(ListForm::Saved, &workers);
+    }
+
+    /// Time since 1970, steady.
+    pub fn now(&self) -> Duration {
+        self.epoch + self.zero.elapsed()
+    }
+
+    pub fn listen(&mut self, listener: std::net::TcpListener) -> std::io::Result<()> {
+        self.http.listen(listener)
+    }
+
+    /// How long the loop may sleep.
+    pub fn until_next(&self) -> Duration {
+        if self.http.has_events() {
+            return Duration::ZERO;
+        }
+        let now = self.now();
+        let own = [
+            self.desk.next_due(),
+            self.deferred.next_due(),
+            self.timers.next_due().filter(|_| self.stopping.is_none()),
+            self.roster.next_due(),
+            self.stopping,
+        ];
+        let own = own.into_iter().flatten().min().map(|at| at.saturating_sub(now));
+        let sockets = self.http.next_deadline().map(|at| at.saturating_duration_since(Instant::now()));
+        own.into_iter().chain(sockets).min().unwrap_or(LOOK_UP).min(LOOK_UP)
+    }
+
+    /// Works what the last wait of the loop brought, and all that is due.
+    pub fn turn(&mut self) {
+        self.http.expire(Instant::now());
+        for event in self.http.take_events() {
+            self.http_event(event);
+        }
+        let now = self.now();
+        if self.desk.next_due().is_some_and(|at| at <= now) {
+            self.desk.due(now);
+            self.carry_out();
+        }
+        self.roster_due(now);
+        self.fronts_due(now);
+    }
+
+    fn http_event(&mut self, event: HttpEvent) {
+        match event {
+            HttpEvent::Request { exchange, request } => self.request(exchange, request),
+            HttpEvent::Gone { exchange } => self.client_gone(exchange),
+            HttpEvent::Answer { call, answer } => self.answered(call, answer),
+            HttpEvent::Part { call, bytes } => self.part(call, bytes),
+            HttpEvent::End { call } => self.stream_ended(call),
+            HttpEvent::Failed { call, how } => self.call_failed(call, how),
+        }
+    }
+
+    /// Does what the desk says, until it says no more.
+    fn carry_out(&mut self) {
+        loop {
+            let outputs = self.desk.outputs();
+            if outputs.is_empty() {
+                return;
+            }
+            for output in outputs {
+                self.output(output);
+            }
+        }
+    }
+
+    fn output(&mut self, output: Output<Rc<Work>>) {
+        match output {
+            Output::Execute { job, execution, worker, function, payload } => {
+                self.execute(job, execution, worker, function, payload)
+            }
+            Output::Cancel { job, execution } => self.drop_execution(job, execution),
+            Output::Withdraw { job, execution } => {
+                let call = self.executions.get(&(job, execution)).copied();
+                if call.is_some_and(|call| self.http.unsent_call(call)) {
+                    self.drop_execution(job, execution);
+                    self.desk.withdrawn(self.now(), job, execution);
+                }
+            }
+            Output::Final { job, payload, answer } => self.final_answer(job, &payload, answer),
+            Output::Probe { order, worker } => self.probe(order, &worker),
+            Output::Load { order, worker, function, copies } => self.load(order, &worker, &function, copies),
+            Output::DropOrder { order } => {
+                if let Some(call) = self.orders.remove(&order) {
+                    self.calls.remove(&call);
+                    self.http.cancel(call);
+                }
+            }
+            Output::Unload { worker, function } => self.unload(&worker, &function),
+            Output::CloseIdle { worker } => {
+                if let Ok(address) = list::address(&worker) {
+                    self.http.close_idle(address);
+                }
+            }
+            // Members come with the fleet of schedulers; the module sends nothing to them today.
+            Output::Tell { to, bytes } => tracing::warn!(?to, bytes = bytes.len(), "there is nobody to tell"),
+            Output::Watch { on } => self.watch(on),
+            Output::AskList => self.ask_list(),
+            Output::Log { text } => tracing::info!(text, "decision"),
+        }
+    }
+
+    fn final_answer(&mut self, job: JobId, work: &Work, answer: FinalAnswer) {
+        let count = match answer {
+            FinalAnswer::Finished => &mut self.counts.finished,
+            FinalAnswer::PushedBack { .. } => &mut self.counts.pushed_back,
+            FinalAnswer::Killed { .. } => &mut self.counts.killed,
+            FinalAnswer::Expired => &mut self.counts.expired,
+        };
+        *count += 1;
+        tracing::debug!(job, id = %work.id, ?answer, "final answer");
+        let said = self.in_hand.take();
+        match work.origin {
+            Origin::Client(exchange) => self.answer_client(exchange, work, answer, said),
+            Origin::Deferred(id) => self.try_ended(id, answer, said),
+        }
+    }
+
+    /// A new identity, unlike that of any other job of this or another instance.
+    fn draw_id(&mut self) -> Uuid {
+        self.drawn += 1;
+        Uuid::from_u64_pair(self.identity, self.drawn)
+    }
+
+    /// Takes no more and ends what is open by the end of the drain.
+    pub fn stop(&mut self) {
+        if self.stopping.is_none() {
+            let until = self.now() + self.settings.drain;
+            self.stopping = Some(until);
+            self.http.stop_listening();
+            let (open, deferred) = (self.desk.open(), self.deferred.len());
+            tracing::info!(open, deferred, drain = ?self.settings.drain, "stopping: nothing new is taken");
+        }
+    }
+
+    /// Whether a stop is complete.
+    pub fn stopped(&self) -> bool {
+        let Some(until) = self.stopping else { return false };
+        let now = self.now();
+        let idle = self.desk.open() == 0 && self.deferred.next_due().is_none_or(|at| at > now);
+        now >= until || idle && !self.http.unsent()
+    }
+
+    /// Final answers for all that is still open, and the last word on what is lost.
+    pub fn finish(&mut self) {
+        self.desk.stop(self.now());
+        self.carry_out();
+        self.say_lost();
+        tracing::info!(counts = ?self.counts, "stopped");
+    }
+
+    pub fn unsent(&self) -> bool {
+        self.http.unsent()
+    }
+
+    pub fn open(&self) -> usize {
+        self.desk.open()
+    }
+}
+
+/// What an order that never left came to.
+const NOT_SENT: Outcome = Outcome::ConnectFailed;
--- /dev/null
+++ b/crates/quartzdrift/src/gateway/roster.rs
@@ -0,0 +1,246 @@
+//! Where the list of workers comes from: asked for now and then, and pushed over server-sent events.
+use super::{Gateway, Use};
+use crate::settings::Settings;
+use quartzdrift_choice::interface::{Discovery, Entry, ListForm};
+use quartzdrift_http::{CallId, Headers, Outgoing};
+use quartzdrift_roster::belief::Believed;
+use quartzdrift_roster::list::{self, Listed};
+use quartzdrift_roster::stream::Reader;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// After a stream was lost: its source may be restarting.
+const STREAM_AGAIN: Duration = Duration::from_millis(500);
+
+/// How the list is followed.
+pub(super) struct Source {
+    /// Calls go out only where there is a source and it is wanted.
+    wanted: bool,
+    asked: Option<(CallId, Duration)>,
+    ask_at: Option<Duration>,
+    stream: Option<CallId>,
+    stream_at: Option<Duration>,
+    reader: Reader,
+    last: Vec<Listed>,
+}
+
+impl Source {
+    pub fn new(settings: &Settings) -> Source {
+        let wanted = settings.roster.is_some() && settings.choice.discovery == Discovery::Push;
+        let at = wanted.then_some(Duration::ZERO);
+        let streams = settings.roster.as_ref().is_some_and(|roster| roster.stream);
+        Source {
+            wanted,
+            asked: None,
+            ask_at: at,
+            stream: None,
+            stream_at: at.filter(|_| streams),
+            reader: Reader::default(),
+            last: Vec::new(),
+        }
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        let timeout = self.asked.map(|(_, until)| until);
+        [timeout, self.ask_at, self.stream_at].into_iter().flatten().min()
+    }
+}
+
+impl Gateway {
+    pub(super) fn roster_due(&mut self, now: Duration) {
+        if let Some((call, _)) = self.roster.asked.take_if(|(_, until)| *until <= now) {
+            self.calls.remove(&call);
+            self.http.cancel(call);
+            self.list_failed("no answer in time");
+        }
+        if self.roster.ask_at.take_if(|at| *at <= now).is_some() {
+            self.ask_list();
+        }
+        if self.roster.stream_at.take_if(|at| *at <= now).is_some() {
+            self.open_stream();
+        }
+    }
+
+    fn roster_call(&mut self, accept: &str, streams: bool, of: Use) -> Option<CallId> {
+        let roster = self.settings.roster.as_ref()?;
+        let request = Outgoing {
+            method: "GET",
+            target: roster.target.clone(),
+            headers: Headers::new().with("accept", accept),
+            body: Rc::from([]),
+            connect_timeout: roster.timeout,
+            streams,
+        };
+        let call = self.http.call(roster.address, request);
+        self.calls.insert(call, of);
+        Some(call)
+    }
+
+    pub(super) fn ask_list(&mut self) {
+        let Some(timeout) = self.settings.roster.as_ref().map(|roster| roster.timeout) else {
+            return self.no_roster();
+        };
+        if self.roster.asked.is_none() {
+            let until = self.now() + timeout;
+            let call = self.roster_call("application/json", false, Use::List);
+            self.roster.asked = call.map(|call| (call, until));
+        }
+    }
+
+    fn open_stream(&mut self) {
+        if self.roster.stream.is_none() {
+            self.roster.reader = Reader::default();
+            self.roster.stream = self.roster_call("text/event-stream", true, Use::Stream);
+        }
+    }
+
+    /// Without a source, the list of the settings is the list.
+    fn no_roster(&mut self) {
+        let workers = self.settings.workers.clone();
+        self.give_list(ListForm::Full, &workers);
+        self.carry_out();
+    }
+
+    pub(super) fn watch(&mut self, on: bool) {
+        if self.settings.roster.is_none() {
+            if on {
+                self.no_roster();
+            }
+            return;
+        }
+        self.roster.wanted = on;
+        if on {
+            self.ask_list();
+            if self.settings.roster.as_ref().is_some_and(|roster| roster.stream) {
+                self.open_stream();
+            }
+        } else {
+            (self.roster.ask_at, self.roster.stream_at) = (None, None);
+            if let Some(call) = self.roster.stream.take() {
+                self.calls.remove(&call);
+                self.http.cancel(call);
+            }
+        }
+    }
+
+    /// Hands a list to the desk.
+    pub(super) fn give_list(&mut self, form: ListForm, workers: &[Listed]) {
+        let entry = |one: &Listed| Entry {
+            worker: "",
+            capacity_hint: one.capacity,
+            cell: one.cell,
+            kind: one.kind,
+            zone: one.zone,
+            started: one.started,
+            state: one.state,
+        };
+        let entries = workers.iter().map(|one| Entry { worker: &one.worker, ..entry(one) }).collect();
+        self.desk.list(self.now(), form, entries);
+        self.carry_out();
+    }
+
+    fn plan_ask(&mut self) {
+        let every = self.settings.roster.as_ref().map(|roster| roster.every);
+        let next = every.filter(|_| self.roster.wanted).map(|every| self.now() + every);
+        self.roster.ask_at = next;
+    }
+
+    pub(super) fn list_came(&mut self, status: u16, body: &[u8]) {
+        self.roster.asked = None;
+        if status != 200 {
+            return self.list_failed(&format!("status {status}"));
+        }
+        match self.believe_full(body) {
+            Ok(()) => self.plan_ask(),
+            Err(why) => self.list_failed(&why),
+        }
+    }
+
+    fn believe_full(&mut self, body: &[u8]) -> Result<(), String> {
+        let list = list::read(body, &self.settings.known)?;
+        for why in &list.unread {
+            tracing::warn!(why, "a line of the list of workers is left out");
+        }
+        let whole = list.unread.is_empty();
+        if whole && list.workers == self.roster.last && !list.workers.is_empty() {
+            return Ok(());
+        }
+        match self.belief.full(list) {
+            Believed::Full(workers) => {
+                tracing::info!(workers = workers.len(), "list of workers");
+                self.give_list(ListForm::Full, &workers);
+                self.roster.last = workers;
+            }
+            Believed::Named { workers, why } => {
+                tracing::warn!(why, "a list of workers is doubted");
+                self.give_list(ListForm::Changes, &workers);
+                self.roster.last.clear();
+            }
+        }
+        self.save_list();
+        Ok(())
+    }
+
+    fn save_list(&self) {
+        if let Some(saver) = &self.saver {
+            saver.save(list::write(&self.belief.workers(), &self.settings.known));
+        }
+    }
+
+    /// The old list still applies; the module is told only where it asks for lists itself.
+    pub(super) fn list_failed(&mut self, why: &str) {
+        self.roster.asked = None;
+        tracing::warn!(why, "the list of workers cannot be had; the last one stands");
+        if self.settings.choice.discovery == Discovery::Ask {
+            self.roster.wanted = false;
+            self.give_list(ListForm::Failed, &[]);
+        }
+        self.plan_ask();
+    }
+
+    pub(super) fn roster_stream_began(&mut self, call: CallId, status: u16) {
+        if status != 200 {
+            self.calls.remove(&call);
+            self.http.cancel(call);
+            self.roster_stream_lost(&format!("status {status}"));
+        }
+    }
+
+    pub(super) fn roster_part(&mut self, call: CallId, bytes: &[u8]) {
+        let Ok(events) = self.roster.reader.feed(bytes) else {
+            self.calls.remove(&call);
+            self.http.cancel(call);
+            return self.roster_stream_lost("an event was too large");
+        };
+        for event in events {
+            let done = match event.name.as_str() {
+                "full" => self.believe_full(event.data.as_bytes()),
+                "changes" => list::read(event.data.as_bytes(), &self.settings.known).map(|list| {
+                    list.unread.iter().for_each(|why| tracing::warn!(why, "a change is left out"));
+                    self.belief.changes(&list.workers);
+                    self.roster.last.clear();
+                    self.give_list(ListForm::Changes, &list.workers);
+                    self.save_list();
+                }),
+                _ => Ok(()),
+            };
+            if let Err(why) = done {
+                tracing::warn!(why, "news of workers cannot be read; the last list stands");
+            }
+        }
+    }
+
+    /// Changes may have been missed: the whole list is asked for at once, and the stream soon after.
+    pub(super) fn roster_stream_lost(&mut self, why: &str) {
+        tracing::warn!(why, "the stream of changes was lost");
+        self.roster.stream = None;
+        if self.settings.choice.discovery == Discovery::Ask {
+            self.roster.wanted = false;
+            return self.give_list(ListForm::Failed, &[]);
+        }
+        if self.roster.wanted {
+            self.roster.stream_at = Some(self.now() + STREAM_AGAIN);
+            self.ask_list();
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift/src/lib.rs
@@ -0,0 +1,10 @@
+//! The gateway daemon: hands calls of clients to workers that load functions on demand.
+//!
+//! [`settings`] reads and checks what it runs by; [`serve`] runs it; [`gateway`] is the state of its event loop,
+//! which feeds the desk and through it the decision module what happens on the sockets, and does what they say.
+pub mod gateway;
+pub mod invoke;
+pub mod logs;
+pub mod saved;
+pub mod serve;
+pub mod settings;
--- /dev/null
+++ b/crates/quartzdrift/src/logs.rs
@@ -0,0 +1,15 @@
+//! Structured logs on standard error, as text or as one JSON object a line.
+use crate::settings::Log;
+use tracing_subscriber::EnvFilter;
+
+/// Starts logging; a second start in one process changes nothing.
+pub fn start(log: &Log) {
+    let filter = EnvFilter::try_new(&log.filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let started = match log.json {
+        true => lines.json().flatten_event(true).try_init(),
+        false => lines.try_init(),
+    };
+    // Already started: by another gateway in the same process.
+    drop(started);
+}
--- /dev/null
+++ b/crates/quartzdrift/src/main.rs
@@ -0,0 +1,166 @@
+//! The operators' command line.
+use clap::{Parser, Subcommand};
+use quartzdrift::{invoke, logs, serve, settings};
+use std::io::{Read, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// A smallest settings file, shown by `serve --help`.
+const EXAMPLE: &str = r#"A small settings file:
+
+    [gateway]
+    listen = ["127.0.0.1:9700"]
+
+    [[workloads]]
+    name = "quick"
+    effect = "restartable"       # or "fingerprinted", "run-once"
+    time_limit = "3s"
+
+    [[functions]]
+    name = "hello"
+    workload = "quick"
+
+    [[workers]]
+    address = "127.0.0.1:9801"
+
+Try it with `quartzdrift check FILE`, then `quartzdrift serve FILE`, then
+    quartzdrift invoke hello --payload '{"name": "you"}'
+
+SIGTERM or Ctrl-C stops it: nothing new is taken, what is open is ended within gateway.drain. Logs go to standard
+error ([log] form = "json" for one object a line). docs/operations.md explains every setting."#;
+
+/// Gateway for functions and models that workers load on demand.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the gateway by a settings file until it is told to stop
+    #[command(after_help = EXAMPLE)]
+    Serve { file: PathBuf },
+    /// Check a settings file and say what is wrong, with line and mend; exit status 1 where something is
+    Check { file: PathBuf },
+    /// Call a function through a gateway and print its answer
+    #[command(after_help = "Exit status: 0 finished or taken, 2 the function failed or the job was killed, \
+                            3 pushed back (trying again is harmless), 4 any other answer, 1 no answer.")]
+    Invoke {
+        /// A name, name:alias or ARN
+        function: String,
+        /// The gateway's address
+        #[arg(long, default_value = "127.0.0.1:9700")]
+        at: String,
+        /// The payload, JSON; `-` reads standard input
+        #[arg(long, conflicts_with = "file")]
+        payload: Option<String>,
+        /// Read the payload from a file
+        #[arg(long)]
+        file: Option<PathBuf>,
+        /// Deferred: answered once taken, run later
+        #[arg(long)]
+        event: bool,
+        /// A mark by which workers know a repeat of a fingerprinted job
+        #[arg(long)]
+        mark: Option<String>,
+        /// How long to wait for the answer
+        #[arg(long, default_value = "30s", value_parser = humantime::parse_duration)]
+        timeout: Duration,
+    },
+}
+
+fn main() -> ExitCode {
+    match Arguments::parse().command {
+        Command::Serve { file } => match settings::load(&file) {
+            Ok(settings) => {
+                logs::start(&settings.log);
+                let ready = |addresses: &[std::net::SocketAddr]| {
+                    addresses.iter().for_each(|at| println!("quartzdrift listens at http://{at}"));
+                    // Whoever started us may wait for these lines; if nobody reads them, serving goes on.
+                    let _ = std::io::stdout().flush();
+                };
+                match serve::signals().and_then(|signals| serve::run(settings, signals, ready)) {
+                    Ok(()) => ExitCode::SUCCESS,
+                    Err(e) => {
+                        eprintln!("quartzdrift: {e}");
+                        ExitCode::FAILURE
+                    }
+                }
+            }
+            Err(faults) => say(&faults),
+        },
+        Command::Check { file } => match settings::load(&file) {
+            Ok(settings) => {
+                let (functions, workers) = (settings.functions.len(), settings.workers.len());
+                let workloads = settings.choice.workloads.len();
+                println!(
+                    "{}: good: {workloads} workloads, {functions} functions, {workers} workers named",
+                    file.display()
+                );
+                ExitCode::SUCCESS
+            }
+            Err(faults) => say(&faults),
+        },
+        Command::Invoke { function, at, payload, file, event, mark, timeout } => {
+            let to = match quartzdrift_roster::list::address(&at) {
+                Ok(to) => to,
+                Err(why) => return fail(&why),
+            };
+            let payload = match (payload.as_deref(), file) {
+                (Some("-"), _) => {
+                    let mut bytes = Vec::new();
+                    std::io::stdin().lock().read_to_end(&mut bytes).map(|_| bytes)
+                }
+                (Some(text), _) => Ok(text.as_bytes().to_vec()),
+                (None, Some(path)) => std::fs::read(path),
+                (None, None) => Ok(b"{}".to_vec()),
+            };
+            let payload = match payload {
+                Ok(payload) => payload,
+                Err(e) => return fail(&format!("the payload cannot be read: {e}")),
+            };
+            let call = invoke::Invoke { to, function, payload, deferred: event, mark, timeout };
+            match invoke::invoke(&call) {
+                Ok(answer) => told(&answer),
+                Err(e) => fail(&format!("no answer from {to}: {e}")),
+            }
+        }
+    }
+}
+
+fn fail(what: &str) -> ExitCode {
+    eprintln!("quartzdrift: {what}");
+    ExitCode::FAILURE
+}
+
+fn say(faults: &[settings::Fault]) -> ExitCode {
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    ExitCode::FAILURE
+}
+
+fn told(answer: &quartzdrift_http::Response) -> ExitCode {
+    let mut out = std::io::stdout().lock();
+    if out.write_all(&answer.body).and_then(|()| writeln!(out)).is_err() {
+        return ExitCode::FAILURE;
+    }
+    let id = answer.headers.get("x-amzn-requestid").unwrap_or("-");
+    match (answer.status, answer.headers.get("x-amz-function-error")) {
+        (200 | 202 | 204, None) => ExitCode::SUCCESS,
+        (200, Some(error)) => {
+            eprintln!("function error: {error} (job {id})");
+            ExitCode::from(2)
+        }
+        (429, _) => {
+            let after = answer.headers.get("retry-after").unwrap_or("?");
+            eprintln!("pushed back: come back in {after} s (job {id})");
+            ExitCode::from(3)
+        }
+        (status, _) => {
+            eprintln!("status {status} (job {id})");
+            ExitCode::from(4)
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift/src/settings/check.rs
@@ -0,0 +1,520 @@
+//! Contradictions in settings, each with the line of what it is about and the mend.
+use super::raw::{Effect, File, To};
+use super::{Fault, Function, Log, Roster, Settings, line_of};
+use quartzdrift_choice::interface as choice;
+use quartzdrift_deferred::{Destination, Waits};
+use quartzdrift_http::Limits;
+use quartzdrift_roster::list::{self, Known, Listed};
+use quartzdrift_timers::{Missed, Timer};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What is found on the way.
+struct Faults<'a> {
+    file: &'a str,
+    text: &'a str,
+    found: Vec<Fault>,
+}
+
+impl Faults<'_> {
+    fn add(&mut self, at: Range<usize>, what: impl Into<String>, mend: impl Into<String>) {
+        let line = line_of(self.text, at.start);
+        self.found.push(Fault { file: self.file.to_owned(), line, what: what.into(), mend: mend.into() });
+    }
+
+    /// Where a table begins, by its header.
+    fn table(&self, name: &str) -> Range<usize> {
+        let at = self.text.find(&format!("[{name}]")).unwrap_or(0);
+        at..at
+    }
+
+    /// Where a key of a table stands.
+    fn key(&self, table: &str, key: &str) -> Range<usize> {
+        let from = self.table(table).start;
+        let line = self.text[from..].split_inclusive('\n').scan(from, |at, line| {
+            let start = *at;
+            *at += line.len();
+            Some((start, line))
+        });
+        let is_key = |line: &str| {
+            let rest = line.trim_start().strip_prefix(key);
+            rest.is_some_and(|rest| rest.trim_start().starts_with('='))
+        };
+        let at = line.skip(1).take_while(|(_, l)| !l.trim_start().starts_with('[')).find(|(_, l)| is_key(l));
+        let at = at.map_or(from, |(at, _)| at);
+        at..at
+    }
+}
+
+fn url(told: &str) -> Result<(SocketAddr, String), String> {
+    let rest = told.strip_prefix("http://").ok_or("it does not begin with http://")?;
+    let at = rest.find('/').unwrap_or(rest.len());
+    let target = if at == rest.len() { "/".to_owned() } else { rest[at..].to_owned() };
+    Ok((list::address(&rest[..at])?, target))
+}
+
+/// An HTTP URL with an address in numbers, split for a call.
+pub fn destination(told: &str) -> Result<(SocketAddr, String), String> {
+    url(told)
+}
+
+pub fn check(file: &str, text: &str, raw: &File) -> Result<Settings, Vec<Fault>> {
+    let mut faults = Faults { file, text, found: Vec::new() };
+    let choice = raw.choice();
+    let listen = listen(raw, &mut faults);
+    workloads(raw, &mut faults);
+    rules(raw, &mut faults);
+    customers(raw, &mut faults);
+    limits(raw, &mut faults);
+    let functions = functions(raw, &choice, &mut faults);
+    let known = Known { zones: raw.scheduler.zones.clone(), kinds: raw.scheduler.kinds.clone() };
+    let workers = workers(raw, &known, &mut faults);
+    let roster = roster(raw, &mut faults);
+    if workers.is_empty() && raw.roster.is_none() && raw.gateway.state.is_none() {
+        let mend = "add [[workers]] with an address, or [roster] with a url";
+        faults.add(faults.table("gateway"), "no worker is named and no roster that names any", mend);
+    }
+    let default_function = raw.gateway.default_workload.as_ref().and_then(|told| {
+        let workload = workload_named(raw, told.get_ref());
+        if workload.is_none() {
+            let mend = format!("name one of: {}", names(raw));
+            faults.add(told.span(), format!("there is no workload '{}'", told.get_ref()), mend);
+        }
+        workload.map(|workload| Rc::new(Function { workload, ..Function::default() }))
+    });
+    let timers = timers(raw, &functions, default_function.is_some(), &mut faults);
+    let on_success = to(&raw.deferred.on_success, raw, faults.table("deferred"), &mut faults);
+    let on_failure = to(&raw.deferred.on_failure, raw, faults.table("deferred"), &mut faults);
+    let deferred = deferred(raw, &mut faults);
+    if let Err(e) = tracing_subscriber::EnvFilter::try_new(&raw.log.filter) {
+        let mend = "write a level like \"info\", or \"info,quartzdrift=debug\"";
+        faults.add(faults.key("log", "filter"), format!("the log filter cannot be read: {e}"), mend);
+    }
+    if !faults.found.is_empty() {
+        faults.found.sort_by_key(|fault| fault.line);
+        return Err(faults.found);
+    }
+    let defaults = Limits::default();
+    let limit = &raw.limits;
+    let span = |told: Option<super::raw::Span>, or: Duration| told.map_or(or, |span| span.0);
+    Ok(Settings {
+        listen,
+        state: raw.gateway.state.as_ref().map(Into::into),
+        seed: raw.gateway.seed,
+        drain: raw.gateway.drain.0,
+        require_json: raw.gateway.require_json,
+        customer_field: raw.gateway.customer_field.as_ref().map(|f| f.to_ascii_lowercase()),
+        customers: raw.customers.iter().zip(0..).map(|(c, at)| (c.get_ref().name.clone(), at)).collect(),
+        functions,
+        default_function,
+        limits: Limits {
+            head: limit.head_bytes.unwrap_or(defaults.head),
+            request_body: limit.payload_bytes.unwrap_or(defaults.request_body),
+            answer_body: limit.answer_bytes.unwrap_or(defaults.answer_body),
+            connections: limit.connections.unwrap_or(defaults.connections),
+            connections_each: limit.connections_each_worker.unwrap_or(defaults.connections_each),
+            receive: span(limit.receive, defaults.receive),
+            idle: span(limit.idle, defaults.idle),
+            send: span(limit.send, defaults.send),
+            keepalive: raw.allowed.keepalive.0,
+        },
+        log: Log { json: raw.log.form == super::raw::LogForm::Json, filter: raw.log.filter.clone() },
+        choice,
+        metrics: raw.reports.fields.iter().map(|m| m.metric.clone()).collect(),
+        connect_timeout: raw.allowed.connect_timeout.0,
+        workers,
+        known,
+        roster,
+        deferred,
+        on_success,
+        on_failure,
+        timers,
+    })
+}
+
+fn listen(raw: &File, faults: &mut Faults) -> Vec<SocketAddr> {
+    if raw.gateway.listen.is_empty() {
+        faults.add(
+            faults.key("gateway", "listen"),
+            "there is no address to listen at",
+            "write listen = [\"127.0.0.1:9700\"]",
+        );
+    }
+    let mut all = Vec::new();
+    for told in &raw.gateway.listen {
+        match list::address(told.get_ref()) {
+            Ok(address) => all.push(address),
+            Err(why) => faults.add(told.span(), why, "write it like \"127.0.0.1:9700\""),
+        }
+    }
+    all
+}
+
+fn names(raw: &File) -> String {
+    raw.workloads.iter().map(|w| w.get_ref().name.as_str()).collect::<Vec<_>>().join(", ")
+}
+
+fn workload_named(raw: &File, name: &str) -> Option<u32> {
+    raw.workloads.iter().position(|w| w.get_ref().name == name).map(|at| at as u32)
+}
+
+fn workloads(raw: &File, faults: &mut Faults) {
+    if raw.workloads.is_empty() {
+        let mend = "add [[workloads]] with name, effect and time_limit";
+        faults.add(faults.table("gateway"), "there is no workload", mend);
+    }
+    for (at, told) in raw.workloads.iter().enumerate() {
+        let (span, w) = (told.span(), told.get_ref());
+        let mut fault = |what: &str, mend: &str| {
+            faults.add(span.clone(), format!("workload '{}': {what}", w.name), mend);
+        };
+        if raw.workloads[..at].iter().any(|before| before.get_ref().name == w.name) {
+            fault("the name stands twice", "give each workload a name of its own");
+        }
+        if w.time_limit.0 <= raw.rules.answer_slack.0 + raw.allowed.connect_timeout.0 {
+            let mend = "make time_limit longer, or rules.answer_slack or allowed.connect_timeout shorter";
+            fault("its time limit is not longer than the answer slack and a connect time-out together", mend);
+        }
+        if w.start_target.is_some_and(|target| target > w.time_limit) {
+            fault("its start target is past its time limit", "make start_target no longer than time_limit");
+        }
+        let fingerprinted = w.effect == Effect::Fingerprinted;
+        if fingerprinted && w.window.is_none_or(|window| window.0.is_zero()) {
+            fault(
+                "it is fingerprinted, but for how long repeats are known is not told",
+                "add window = \"5s\" or so",
+            );
+        }
+        if !fingerprinted && (w.window.is_some() || w.group.is_some()) {
+            fault("group and window say nothing unless it is fingerprinted", "remove them, or change effect");
+        }
+        let share = |told: Option<f64>| told.is_some_and(|n| !(0.0..=1.0).contains(&n));
+        if share(w.late_share) {
+            fault("late_share is no share", "write a number from 0 to 1");
+        }
+        if w.importance.is_some_and(|n| !n.is_finite() || n < 0.0) {
+            fault("importance is below nothing", "write a number from 0 on");
+        }
+    }
+}
+
+fn rules(raw: &File, faults: &mut Faults) {
+    let rules = &raw.rules;
+    let cold = [
+        ("cold_from", rules.cold_from.is_some()),
+        ("cold_for", rules.cold_for.is_some()),
+        ("fall_multiple", rules.fall_multiple.is_some()),
+        ("fall_window", rules.fall_window.is_some()),
+    ];
+    let missing: Vec<&str> = cold.iter().filter(|(_, told)| !told).map(|(name, _)| *name).collect();
+    if !missing.is_empty() && missing.len() < cold.len() {
+        let mend = format!("add {}, or leave all four out", missing.join(", "));
+        faults.add(faults.table("rules"), "the rule for cold workers is told in part", mend);
+    }
+    if rules.cold_from.is_some_and(|from| !(from > 0.0 && from <= 1.0)) {
+        let mend =
+            "write the share of its work that a worker can do when it has just started, over 0 up to 1";
+        faults.add(faults.key("rules", "cold_from"), "cold_from is no share", mend);
+    }
+    if rules.fall_multiple.is_some_and(|n| !n.is_finite() || n <= 0.0) {
+        faults.add(
+            faults.key("rules", "fall_multiple"),
+            "fall_multiple is not over 0",
+            "write a number over 0",
+        );
+    }
+    let copies = &raw.copies;
+    let load = [copies.load_free.is_some(), copies.load_share.is_some(), copies.load_window.is_some()];
+    if load.contains(&true) && load.contains(&false) {
+        let mend = "tell load_free, load_share and load_window, or none of them";
+        faults.add(faults.table("copies"), "the ration of load orders is told in part", mend);
+    }
+    let kinds = raw.scheduler.kinds.len().max(1);
+    if !copies.memory_mb_by_kind.is_empty() && copies.memory_mb_by_kind.len() != kinds {
+        let what = format!("memory is told for {} kinds of {kinds}", copies.memory_mb_by_kind.len());
+        let mend = "write one figure for each of scheduler.kinds";
+        faults.add(faults.key("copies", "memory_mb_by_kind"), what, mend);
+    }
+    if raw.allowed.max_executions == Some(0) {
+        let mend = "write 1 for no further executions";
+        faults.add(faults.key("allowed", "max_executions"), "no execution is allowed at all", mend);
+    }
+    if raw.allowed.connect_timeout.0.is_zero() {
+        faults.add(
+            faults.key("allowed", "connect_timeout"),
+            "connect_timeout is zero",
+            "write \"250ms\" or so",
+        );
+    }
+    let scheduler = &raw.scheduler;
+    if let (Some(me), Some(all)) = (scheduler.me, scheduler.schedulers)
+        && me >= all
+    {
+        let mend = "number the schedulers from 0 to one less than scheduler.schedulers";
+        faults.add(faults.key("scheduler", "me"), format!("me is {me} of {all} schedulers"), mend);
+    }
+    if let Some(zone) = &scheduler.zone
+        && !scheduler.zones.contains(zone.get_ref())
+    {
+        let mend = format!("name one of scheduler.zones: {}", scheduler.zones.join(", "));
+        faults.add(zone.span(), format!("there is no zone '{}'", zone.get_ref()), mend);
+    }
+    if matches!(raw.reports.source, super::raw::ReportSource::Silent) && !raw.reports.fields.is_empty() {
+        let mend = "write source = \"answers\", or leave the fields out";
+        faults.add(faults.table("reports"), "fields of reports are told, but no source of them", mend);
+    }
+}
+
+fn customers(raw: &File, faults: &mut Faults) {
+    for (at, told) in raw.customers.iter().enumerate() {
+        let customer = told.get_ref();
+        if raw.customers[..at].iter().any(|before| before.get_ref().name == customer.name) {
+            let what = format!("customer '{}' stands twice", customer.name);
+            faults.add(told.span(), what, "give each customer a name of its own");
+        }
+        if customer.share.is_some_and(|n| !(0.0..=1.0).contains(&n)) {
+            let what = format!("customer '{}': the share is no share", customer.name);
+            faults.add(told.span(), what, "write a number from 0 to 1");
+        }
+    }
+    let all: f64 = raw.customers.iter().filter_map(|c| c.get_ref().share).sum();
+    if all > 1.001 {
+        let at = raw.customers.first().map_or(0..0, |c| c.span());
+        faults.add(at, format!("the customers' shares come to {all:.3}"), "make them come to 1 at most");
+    }
+    if raw.gateway.customer_field.is_some() && raw.customers.is_empty() {
+        let mend = "add [[customers]], or leave customer_field out";
+        faults.add(
+            faults.key("gateway", "customer_field"),
+            "a field tells customers, but none are named",
+            mend,
+        );
+    }
+}
+
+fn limits(raw: &File, faults: &mut Faults) {
+    let limits = &raw.limits;
+    let counts = [
+        ("head_bytes", limits.head_bytes),
+        ("answer_bytes", limits.answer_bytes),
+        ("connections", limits.connections),
+        ("connections_each_worker", limits.connections_each_worker),
+    ];
+    for (name, told) in counts {
+        if told == Some(0) {
+            faults.add(
+                faults.key("limits", name),
+                format!("{name} is 0: nothing could pass"),
+                "write a number over 0",
+            );
+        }
+    }
+    for (name, told) in [("receive", limits.receive), ("idle", limits.idle), ("send", limits.send)] {
+        if told.is_some_and(|span| span.0.is_zero()) {
+            faults.add(faults.key("limits", name), format!("{name} is zero"), "write a span like \"20s\"");
+        }
+    }
+}
+
+fn to(told: &Option<To>, raw: &File, at: Range<usize>, faults: &mut Faults) -> Option<Destination> {
+    match told.as_ref()? {
+        To { function: Some(name), url: None } => {
+            let plain = name.split(':').next().unwrap_or(name);
+            let named = raw.functions.iter().any(|f| f.get_ref().name == *name || f.get_ref().name == plain);
+            if !named && raw.gateway.default_workload.is_none() {
+                faults.add(
+                    at,
+                    format!("the destination '{name}' is no function"),
+                    "name one of [[functions]]",
+                );
+            }
+            Some(Destination::Function(name.clone()))
+        }
+        To { function: None, url: Some(told) } => {
+            if let Err(why) = url(told) {
+                faults.add(at, format!("destination: {why}"), "write it like \"http://127.0.0.1:8080/path\"");
+            }
+            Some(Destination::Url(told.clone()))
+        }
+        To { .. } => {
+            let mend = "write either function = \"name\" or url = \"http://...\"";
+            faults.add(at, "a destination is a function or a URL", mend);
+            None
+        }
+    }
+}
+
+fn functions(raw: &File, choice: &choice::Settings, faults: &mut Faults) -> HashMap<String, Rc<Function>> {
+    let mut all = HashMap::new();
+    for told in &raw.functions {
+        let (span, f) = (told.span(), told.get_ref());
+        if quartzdrift_invoke::name::FunctionName::parse(&f.name).is_err() {
+            let what = format!("'{}' is no function's name", f.name);
+            faults.add(span.clone(), what, "use letters, digits, '-' and '_', and ':' before a version");
+        }
+        let Some(workload) = workload_named(raw, &f.workload) else {
+            let mend = format!("name one of: {}", names(raw));
+            faults.add(span, format!("function '{}': there is no workload '{}'", f.name, f.workload), mend);
+            continue;
+        };
+        let most = choice.copies.memory_mb_by_kind.iter().copied().fold(f64::NAN, f64::max);
+        if f.memory_mb.is_some_and(|mb| mb > most) {
+            let what = format!("function '{}': no kind of worker has the memory for a copy", f.name);
+            faults.add(span.clone(), what, format!("the largest has {most} MB: make memory_mb smaller"));
+        }
+        if f.lanes.is_some_and(|lanes| !(lanes >= 1.0 && lanes.is_finite())) {
+            faults.add(span.clone(), format!("function '{}': lanes is below 1", f.name), "write 1 or more");
+        }
+        let on_success = to(&f.on_success, raw, span.clone(), faults);
+        let on_failure = to(&f.on_failure, raw, span.clone(), faults);
+        let function = Function {
+            workload,
+            memory_mb: f.memory_mb,
+            lanes: f.lanes,
+            load: f.load.map(|s| s.0),
+            work: f.work.map(|s| s.0),
+            writes: f.writes,
+            on_success,
+            on_failure,
+        };
+        if all.insert(f.name.clone(), Rc::new(function)).is_some() {
+            faults.add(span, format!("function '{}' stands twice", f.name), "remove one of them");
+        }
+    }
+    if raw.functions.is_empty() && raw.gateway.default_workload.is_none() && !raw.workloads.is_empty() {
+        let mend = "add [[functions]], or gateway.default_workload for all that are not named";
+        faults.add(faults.table("gateway"), "no function is known", mend);
+    }
+    all
+}
+
+fn workers(raw: &File, known: &Known, faults: &mut Faults) -> Vec<Listed> {
+    let mut all: Vec<Listed> = Vec::new();
+    for told in &raw.workers {
+        let w = told.get_ref();
+        let mut index = |what: &str, told_name: &Option<String>, names: &[String]| match told_name {
+            None => 0,
+            Some(name) => names.iter().position(|n| n == name).map_or_else(
+                || {
+                    let mend = format!("name one of scheduler.{what}s: {}", names.join(", "));
+                    faults.add(told.span(), format!("there is no {what} '{name}'"), mend);
+                    0
+                },
+                |at| at as u32,
+            ),
+        };
+        let zone = index("zone", &w.zone, &known.zones);
+        let kind = index("kind", &w.kind, &known.kinds);
+        match list::address(&w.address) {
+            Ok(address) => {
+                let worker = address.to_string();
+                if all.iter().any(|one| one.worker == worker) {
+                    faults.add(told.span(), format!("worker {worker} stands twice"), "remove one of them");
+                }
+                all.push(Listed { zone, kind, cell: w.cell, capacity: w.capacity, ..Listed::up(&worker) });
+            }
+            Err(why) => faults.add(told.span(), why, "write it like \"127.0.0.1:9801\""),
+        }
+    }
+    all
+}
+
+fn roster(raw: &File, faults: &mut Faults) -> Option<Roster> {
+    let told = raw.roster.as_ref()?;
+    if told.every.0 < Duration::from_millis(50) {
+        faults.add(faults.key("roster", "every"), "the list is asked for too often", "write 50ms or more");
+    }
+    if told.timeout.0.is_zero() {
+        faults.add(faults.key("roster", "timeout"), "timeout is zero", "write \"2s\" or so");
+    }
+    match url(told.url.get_ref()) {
+        Ok((address, target)) => {
+            let (stream, every, timeout) = (told.stream, told.every.0, told.timeout.0);
+            Some(Roster { address, target, stream, every, timeout })
+        }
+        Err(why) => {
+            faults.add(told.url.span(), why, "write it like \"http://127.0.0.1:9800/workers\"");
+            None
+        }
+    }
+}
+
+fn deferred(raw: &File, faults: &mut Faults) -> Waits {
+    let told = &raw.deferred;
+    if told.tries == 0 {
+        faults.add(
+            faults.key("deferred", "tries"),
+            "no try is allowed at all",
+            "write 1 for no further tries",
+        );
+    }
+    if told.out == 0 {
+        faults.add(faults.key("deferred", "out"), "no deferred job may be out", "write a number over 0");
+    }
+    if told.wait > told.longest_wait {
+        let mend = "make longest_wait no shorter than wait";
+        faults.add(faults.key("deferred", "wait"), "the first wait is longer than the longest", mend);
+    }
+    Waits {
+        tries: told.tries,
+        first: told.wait.0,
+        longest: told.longest_wait.0,
+        greatest_age: told.greatest_age.0,
+        jobs: told.jobs,
+        bytes: told.bytes,
+        out: told.out,
+    }
+}
+
+fn timers(
+    raw: &File,
+    functions: &HashMap<String, Rc<Function>>,
+    any: bool,
+    faults: &mut Faults,
+) -> Vec<(Timer, Rc<[u8]>)> {
+    let mut all: Vec<(Timer, Rc<[u8]>)> = Vec::new();
+    for told in &raw.timers {
+        let (span, t) = (told.span(), told.get_ref());
+        if !functions.contains_key(&t.function) && !any {
+            let what = format!("timer '{}': there is no function '{}'", t.name, t.function);
+            faults.add(span.clone(), what, "name one of [[functions]]");
+        }
+        if all.iter().any(|(before, _)| before.name == t.name) {
+            faults.add(
+                span.clone(),
+                format!("timer '{}' stands twice", t.name),
+                "give each a name of its own",
+            );
+        }
+        if raw.gateway.require_json && !quartzdrift_invoke::call::is_json(t.payload.as_bytes()) {
+            faults.add(
+                span.clone(),
+                format!("timer '{}': its payload is not JSON", t.name),
+                "write JSON in it",
+            );
+        }
+        let cron = quartzdrift_timers::cron(&t.cron)
+            .map_err(|why| faults.add(span.clone(), why, "write like \"*/5 * * * *\""));
+        let zone = quartzdrift_timers::zone(&t.zone)
+            .map_err(|why| faults.add(span.clone(), why, "write like \"Europe/Amsterdam\" or \"UTC\""));
+        let (Ok(cron), Ok(zone)) = (cron, zone) else { continue };
+        let timer = Timer {
+            name: t.name.clone(),
+            function: t.function.clone(),
+            cron,
+            zone,
+            jitter: t.jitter.map_or(Duration::ZERO, |s| s.0),
+            missed: match t.missed {
+                super::raw::Missed::Skip => Missed::Skip,
+                super::raw::Missed::Once => Missed::Once,
+                super::raw::Missed::All => Missed::All,
+            },
+            overlap: t.overlap,
+        };
+        all.push((timer, Rc::from(t.payload.as_bytes())));
+    }
+    all
+}
--- /dev/null
+++ b/crates/quartzdrift/src/settings/mod.rs
@@ -0,0 +1,144 @@
+//! Settings: read from TOML, checked whole before anything starts. An error tells file, line and the mend.
+mod check;
+pub use check::destination;
+pub mod raw;
+
+use quartzdrift_choice::interface::Settings as Choice;
+use quartzdrift_deferred::{Destination, Waits};
+use quartzdrift_http::Limits;
+use quartzdrift_roster::list::{Known, Listed};
+use quartzdrift_timers::Timer;
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// One thing that is wrong in a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    pub file: String,
+    /// Counted from 1; 0 where it is the file as a whole.
+    pub line: usize,
+    pub what: String,
+    pub mend: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}: {}", self.file, self.what)?,
+            line => write!(f, "{}:{line}: {}", self.file, self.what)?,
+        }
+        if !self.mend.is_empty() {
+            write!(f, "\n    mend: {}", self.mend)?;
+        }
+        Ok(())
+    }
+}
+
+/// A function as the settings know it.
+#[derive(Clone, Debug, Default)]
+pub struct Function {
+    pub workload: u32,
+    pub memory_mb: Option<f64>,
+    pub lanes: Option<f64>,
+    pub load: Option<Duration>,
+    pub work: Option<Duration>,
+    pub writes: bool,
+    pub on_success: Option<Destination>,
+    pub on_failure: Option<Destination>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Roster {
+    pub address: SocketAddr,
+    pub target: String,
+    pub stream: bool,
+    pub every: Duration,
+    pub timeout: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub struct Log {
+    pub json: bool,
+    pub filter: String,
+}
+
+/// What the gateway runs by.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub listen: Vec<SocketAddr>,
+    pub state: Option<PathBuf>,
+    pub seed: Option<u64>,
+    pub drain: Duration,
+    pub require_json: bool,
+    pub customer_field: Option<String>,
+    pub customers: HashMap<String, u32>,
+    pub functions: HashMap<String, Rc<Function>>,
+    pub default_function: Option<Rc<Function>>,
+    pub limits: Limits,
+    pub log: Log,
+    pub choice: Choice,
+    /// Names of the metrics that tell the module's report fields, in their order.
+    pub metrics: Vec<String>,
+    pub connect_timeout: Duration,
+    pub workers: Vec<Listed>,
+    pub known: Known,
+    pub roster: Option<Roster>,
+    pub deferred: Waits,
+    pub on_success: Option<Destination>,
+    pub on_failure: Option<Destination>,
+    pub timers: Vec<(Timer, Rc<[u8]>)>,
+}
+
+impl Settings {
+    /// What the settings say of a function, by its name as it is loaded; a version or alias that they do not
+    /// name is treated as the function itself.
+    pub fn function(&self, loaded: &str) -> Option<Rc<Function>> {
+        let plain = loaded.split(':').next().unwrap_or(loaded);
+        let named = self.functions.get(loaded).or_else(|| self.functions.get(plain));
+        named.or(self.default_function.as_ref()).cloned()
+    }
+}
+
+/// Reads and checks a file; all that is wrong, in the order of the lines.
+pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        let mend =
+            "name a settings file that can be read; 'quartzdrift serve --help' shows a small one".to_owned();
+        vec![Fault { file: name.clone(), line: 0, what: format!("cannot be read: {e}"), mend }]
+    })?;
+    read(&name, &text)
+}
+
+/// The same for a text; `file` is its name in faults.
+pub fn read(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
+    let raw: raw::File = toml::from_str(text).map_err(|e| {
+        let line = e.span().map_or(0, |span| line_of(text, span.start));
+        let (what, mend) = said(e.message());
+        vec![Fault { file: file.to_owned(), line, what, mend }]
+    })?;
+    check::check(file, text, &raw)
+}
+
+pub(crate) fn line_of(text: &str, at: usize) -> usize {
+    text.bytes().take(at).filter(|b| *b == b'\n').count() + 1
+}
+
+/// Splits the reader's message into what is wrong and how to mend it.
+fn said(message: &str) -> (String, String) {
+    if let Some((what, expected)) = message.split_once(", expected ") {
+        return (what.to_owned(), format!("write {expected}"));
+    }
+    if let Some((what, mend)) = message.split_once("; ") {
+        return (what.to_owned(), mend.to_owned());
+    }
+    let mend = match message.strip_prefix("missing field ") {
+        Some(field) => format!("add {field}"),
+        None => "see docs/operations.md for the form of this setting".to_owned(),
+    };
+    (message.to_owned(), mend)
+}
