--- a/crates/quartzdrift-desk/src/desk.rs
+++ b/crates/quartzdrift-desk/src/desk.rs
@@ -414,7 +414,9 @@
                 self.conclude(job, FinalAnswer::Killed { why });
             }
             Action::Cancel { job, execution } => {
-                if self.out.contains_key(&(job, execution)) {
+                // An answer that has begun is the client's, however long it takes.
+                let streaming = self.jobs.get(&job).is_some_and(|open| open.streaming);
+                if self.out.contains_key(&(job, execution)) && !streaming {
                     self.outputs.push(Output::Cancel { job, execution });
                     self.later.push_back(Later::Ended(job, execution, Ended::silent(Outcome::Cancelled)));
                 }
--- a/crates/quartzdrift-lab/src/audit.rs
+++ b/crates/quartzdrift-lab/src/audit.rs
@@ -42,17 +42,22 @@
     pub what: String,
 }
 
-impl fmt::Display for Broken {
+impl fmt::Display for Rule {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let name = match self.rule {
+        f.write_str(match self {
             Rule::JobLost => "no job lost",
             Rule::EffectTwice => "no effect twice",
             Rule::Drain => "drains kept",
             Rule::ColdWorker => "no cold worker pushed over",
             Rule::Loads => "loads rationed",
             Rule::TwoAtOnce => "never two executions at once",
-        };
-        write!(f, "{:.3} s: {name}: {}", self.at_us as f64 / 1e6, self.what)
+        })
+    }
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{:.3} s: {}: {}", self.at_us as f64 / 1e6, self.rule, self.what)
     }
 }
 
--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -44,6 +44,18 @@
     pub arguments: Vec<String>,
 }
 
+impl Program {
+    /// The lab's own program under one of its commands.
+    pub fn lab(path: &Path, command: &str) -> Program {
+        Program { path: path.to_owned(), arguments: vec![command.to_owned()] }
+    }
+
+    /// Whether it ends well when it is told to stop; the naive one is simply killed.
+    fn stops(&self) -> bool {
+        self.arguments.first().is_none_or(|command| command != "naive")
+    }
+}
+
 struct Gateway {
     settings: PathBuf,
     child: Option<Child>,
@@ -249,7 +261,7 @@
             let Some(mut child) = gateway.child.take() else { continue };
             loop {
                 if let Some(status) = child.try_wait()? {
-                    if !status.success() {
+                    if !status.success() && self.program.stops() {
                         return Err(io::Error::other(format!("gateway {n} ended with {status}")));
                     }
                     break;
--- /dev/null
+++ b/crates/quartzdrift-lab/src/lib.rs
@@ -0,0 +1,21 @@
+//! The lab: what the gateway is tried against, and what judges it.
+//!
+//! * [`model`] and [`worker`]: stand-in workers, first without and then with sockets; [`functions`] that they run.
+//! * [`store`], [`roster`]: stand-ins for the store that functions are fetched from and for the list of workers.
+//! * [`clients`], [`load`]: clients of a day, and open-loop load with a report.
+//! * [`script`], [`badday`], [`record`], [`audit`]: days of troubles, what passed on the sockets, and the verdict.
+//! * [`actor`]: the event loop that stand-ins run on.
+//! * [`naive`]: a gateway that breaks the rules, to prove that the auditor sees it.
+pub mod actor;
+pub mod audit;
+pub mod badday;
+pub mod clients;
+pub mod functions;
+pub mod load;
+pub mod model;
+pub mod naive;
+pub mod record;
+pub mod roster;
+pub mod script;
+pub mod store;
+pub mod worker;
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -1,16 +1,5 @@
 //! The lab's command line.
-mod actor;
-mod audit;
-mod badday;
-mod clients;
-mod functions;
-mod load;
-mod model;
-mod record;
-mod roster;
-mod script;
-mod store;
-mod worker;
+use quartzdrift_lab::{actor, audit, badday, load, naive, roster, script, store, worker};
 
 use clap::{Parser, Subcommand};
 use quartzdrift::{logs, serve, settings};
@@ -54,6 +43,8 @@
         #[command(flatten)]
         config: StoreOptions,
     },
+    /// Run a gateway that breaks the rules on purpose, to prove that the auditor sees it
+    Naive { file: PathBuf },
     /// Play a day of troubles against several gateway processes, and judge the rules from what passed on the sockets
     ///
     /// Exit status 0 only where every rule was kept. Without a script it plays the bad day that comes with it.
@@ -69,8 +60,11 @@
         #[arg(long)]
         record: Option<PathBuf>,
         /// Run gateways of this program (`PROGRAM serve FILE`) in place of this one
-        #[arg(long)]
+        #[arg(long, conflicts_with = "naive")]
         gateway: Option<PathBuf>,
+        /// Run gateways that break the rules: the day must fail
+        #[arg(long)]
+        naive: bool,
     },
     /// Call functions at a rate, open-loop, and report times by outcome
     Load {
@@ -133,8 +127,27 @@
     let done = match Arguments::parse().command {
         Command::Demo { listen, workers } => demo(listen, workers),
         Command::Gateway { file } => gateway(&file),
-        Command::Badday { script, seed, times, record, gateway } => {
-            return badday(script.as_deref(), seed..seed + times, record.as_deref(), gateway);
+        Command::Naive { file } => settings::load(&file).map_err(faults).and_then(|settings| {
+            naive::run(settings, |at| {
+                println!("quartzdrift listens at http://{at}");
+                let _ = std::io::stdout().flush();
+            })
+        }),
+        Command::Badday { script, seed, times, record, gateway, naive } => {
+            let program = match gateway {
+                Some(path) => badday::Program { path, arguments: vec!["serve".to_owned()] },
+                None => match std::env::current_exe() {
+                    Ok(path) => {
+                        let command = if naive { "naive" } else { "gateway" };
+                        badday::Program::lab(&path, command)
+                    }
+                    Err(e) => {
+                        eprintln!("quartzdrift-lab: {e}");
+                        return ExitCode::FAILURE;
+                    }
+                },
+            };
+            return badday(script.as_deref(), seed..seed + times, record.as_deref(), &program);
         }
         Command::Load { to, mix, rate, length, payload, event, out, timeout, even, seed } => {
             let (deferred, out_most) = (event, out);
@@ -209,7 +222,12 @@
     broken.iter().take(SHOWN_MOST).for_each(|broken| println!("BROKEN {broken}"));
     match broken.len() {
         0 => println!("every rule was kept"),
-        n => println!("{n} breaches"),
+        n => {
+            let mut counts = std::collections::BTreeMap::new();
+            broken.iter().for_each(|broken| *counts.entry(broken.rule).or_insert(0) += 1);
+            let counts: Vec<String> = counts.iter().map(|(rule, count)| format!("{rule}: {count}")).collect();
+            println!("{n} breaches ({})", counts.join(", "));
+        }
     }
     if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
@@ -218,21 +236,14 @@
     script: Option<&std::path::Path>,
     seeds: std::ops::Range<u64>,
     record: Option<&std::path::Path>,
-    gateway: Option<PathBuf>,
+    program: &badday::Program,
 ) -> ExitCode {
     let text = match script {
         Some(path) => std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display())),
         None => Ok(BAD_DAY.to_owned()),
     };
-    let program = match gateway {
-        Some(path) => Ok(badday::Program { path, arguments: vec!["serve".to_owned()] }),
-        None => std::env::current_exe()
-            .map(|path| badday::Program { path, arguments: vec!["gateway".to_owned()] })
-            .map_err(|e| e.to_string()),
-    };
-    let ready = text.and_then(|text| script::read(&text)).and_then(|script| Ok((script, program?)));
-    let (script, program) = match ready {
-        Ok(ready) => ready,
+    let script = match text.and_then(|text| script::read(&text)) {
+        Ok(script) => script,
         Err(why) => {
             eprintln!("quartzdrift-lab: {why}");
             return ExitCode::FAILURE;
@@ -240,7 +251,7 @@
     };
     let mut code = ExitCode::SUCCESS;
     for seed in seeds {
-        let day = match badday::play(&script, &program, seed) {
+        let day = match badday::play(&script, program, seed) {
             Ok(day) => day,
             Err(e) => {
                 eprintln!("quartzdrift-lab: the day could not be played: {e}");
--- /dev/null
+++ b/crates/quartzdrift-lab/src/naive.rs
@@ -0,0 +1,160 @@
+//! A gateway that breaks the rules on purpose: it keeps the first list of workers that it sees, sends at random, and
+//! sends again whatever failed or took long, whether or not it may have run. Auditors are proved against it.
+use crate::actor::{self, StandIn};
+use calloop::LoopHandle;
+use quartzdrift::settings::Settings;
+use quartzdrift_http::{
+    CallId, Exchange, HasHttp, Headers, Http, HttpEvent, Limits, Outgoing, Request, Response,
+};
+use quartzdrift_roster::list;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// After this an execution is taken to have failed, and sent again while the first still runs.
+const IMPATIENT: Duration = Duration::from_millis(300);
+const SENDS_MOST: u32 = 3;
+
+struct Job {
+    exchange: Exchange,
+    target: String,
+    headers: Headers,
+    body: Rc<[u8]>,
+    sends: u32,
+    again_at: Duration,
+}
+
+struct Naive {
+    http: Http<Naive>,
+    start: Instant,
+    settings: Settings,
+    workers: Vec<SocketAddr>,
+    list: Option<CallId>,
+    jobs: HashMap<u64, Job>,
+    calls: HashMap<CallId, u64>,
+    chance: StdRng,
+    drawn: u64,
+}
+
+impl HasHttp for Naive {
+    fn http(&mut self) -> &mut Http<Naive> {
+        &mut self.http
+    }
+}
+
+impl Naive {
+    fn outgoing(&self, method: &'static str, target: String, headers: Headers, body: Rc<[u8]>) -> Outgoing {
+        let connect_timeout = Duration::from_millis(250);
+        Outgoing { method, target, headers, body, connect_timeout, streams: false }
+    }
+
+    fn send(&mut self, id: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.sends += 1;
+        job.again_at = self.start.elapsed() + IMPATIENT;
+        let (target, headers, body) = (job.target.clone(), job.headers.clone(), job.body.clone());
+        if self.workers.is_empty() {
+            return;
+        }
+        let to = self.workers[self.chance.random_range(0..self.workers.len())];
+        let outgoing = self.outgoing("POST", target, headers, body);
+        let call = self.http.call(to, outgoing);
+        self.calls.insert(call, id);
+    }
+
+    fn request(&mut self, exchange: Exchange, request: Request) {
+        self.drawn += 1;
+        let me = self.settings.choice.me.unwrap_or(0);
+        let mut headers = Headers::new()
+            .with("x-amzn-requestid", &format!("naive-{me}-{}", self.drawn))
+            .with("x-quartzdrift-scheduler", &me.to_string());
+        if let Some(mark) = request.head.headers.get("idempotency-key") {
+            headers.push("idempotency-key", mark);
+        }
+        if request.head.headers.get("x-amz-invocation-type") == Some("Event") {
+            self.http.answer(exchange, &Response { status: 202, ..Response::default() });
+        }
+        let (target, body) = (request.head.target, request.body.into());
+        let job = Job { exchange, target, headers, body, sends: 0, again_at: Duration::ZERO };
+        self.jobs.insert(self.drawn, job);
+        self.send(self.drawn);
+    }
+
+    fn ended(&mut self, call: CallId, answer: Option<Response>) {
+        let Some(id) = self.calls.remove(&call) else { return };
+        let Some(job) = self.jobs.get(&id) else { return };
+        match answer {
+            Some(answer) if answer.status == 200 || job.sends >= SENDS_MOST => {
+                if let Some(job) = self.jobs.remove(&id) {
+                    self.http.answer(job.exchange, &answer);
+                }
+            }
+            _ if job.sends < SENDS_MOST => self.send(id),
+            _ => {}
+        }
+    }
+}
+
+impl StandIn for Naive {
+    type Command = ();
+
+    fn event(&mut self, event: HttpEvent) {
+        match event {
+            HttpEvent::Request { exchange, request: Ok(request) } => self.request(exchange, request),
+            HttpEvent::Answer { call, answer } if self.list == Some(call) => {
+                let list = list::read(&answer.body, &self.settings.known).unwrap_or_default();
+                self.workers = list.workers.iter().filter_map(|w| list::address(&w.worker).ok()).collect();
+            }
+            HttpEvent::Answer { call, answer } => self.ended(call, Some(answer)),
+            HttpEvent::Failed { call, .. } => self.ended(call, None),
+            HttpEvent::Request { .. }
+            | HttpEvent::Gone { .. }
+            | HttpEvent::Part { .. }
+            | HttpEvent::End { .. } => {}
+        }
+    }
+
+    fn command(&mut self, (): ()) {}
+
+    fn next_due(&self) -> Option<Duration> {
+        self.jobs.values().filter(|job| job.sends < SENDS_MOST).map(|job| job.again_at).min()
+    }
+
+    fn due(&mut self, now: Duration) {
+        let late = |job: &Job| job.sends < SENDS_MOST && job.again_at <= now;
+        let again: Vec<u64> = self.jobs.iter().filter(|(_, job)| late(job)).map(|(id, _)| *id).collect();
+        again.into_iter().for_each(|id| self.send(id));
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
+
+/// Serves until it is killed.
+pub fn run(settings: Settings, ready: impl FnOnce(SocketAddr)) -> std::io::Result<()> {
+    let at = settings.listen.first().copied().unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listener = quartzdrift_http::bind(at)?;
+    ready(listener.local_addr()?);
+    actor::run(Some(listener), None, |handle: LoopHandle<'static, Naive>| {
+        let mut naive = Naive {
+            http: Http::new(handle, Limits::default()),
+            start: Instant::now(),
+            workers: Vec::new(),
+            list: None,
+            jobs: HashMap::new(),
+            calls: HashMap::new(),
+            chance: StdRng::seed_from_u64(settings.seed.unwrap_or(0)),
+            drawn: 0,
+            settings,
+        };
+        if let Some(roster) = naive.settings.roster.clone() {
+            let outgoing = naive.outgoing("GET", roster.target, Headers::new(), Rc::from([]));
+            naive.list = Some(naive.http.call(roster.address, outgoing));
+        }
+        naive
+    })
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -0,0 +1,465 @@
+//! A gateway process and stand-in workers on loopback: the hard cases, seen from the sockets.
+use quartzdrift::invoke::{Invoke, invoke};
+use quartzdrift_http::Response;
+use quartzdrift_lab::actor::{Running, spawn};
+use quartzdrift_lab::audit::{Rule, audit};
+use quartzdrift_lab::badday::{self, Program};
+use quartzdrift_lab::model::Machine;
+use quartzdrift_lab::record::{Recorder, Seen};
+use quartzdrift_lab::roster::{self, Roster};
+use quartzdrift_lab::script;
+use quartzdrift_lab::worker::{Command, Config, Faults, WorkerStandIn};
+use quartzdrift_roster::list::Listed;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command as Process, Stdio};
+use std::time::{Duration, Instant};
+
+const LAB: &str = env!("CARGO_BIN_EXE_quartzdrift-lab");
+const MS: Duration = Duration::from_millis(1);
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+struct Gateway {
+    child: Child,
+    at: SocketAddr,
+    out: BufReader<std::process::ChildStdout>,
+}
+
+impl Gateway {
+    fn start(file: &Path) -> Gateway {
+        let mut child = Process::new(LAB)
+            .arg("gateway")
+            .arg(file)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut out = BufReader::new(child.stdout.take().unwrap());
+        let mut line = String::new();
+        out.read_line(&mut line).unwrap();
+        let at = line.trim().rsplit('/').next().unwrap().parse().expect("the gateway says where it listens");
+        Gateway { child, at, out }
+    }
+
+    fn term(&self) {
+        Process::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    }
+
+    fn ended(&mut self) -> bool {
+        let mut rest = String::new();
+        // The end of its output is the end of the process.
+        self.out.read_to_string(&mut rest).unwrap();
+        self.child.wait().unwrap().success()
+    }
+
+    fn invoke(&self, function: &str, payload: &str) -> Response {
+        self.call(function, payload, false)
+    }
+
+    fn call(&self, function: &str, payload: &str, deferred: bool) -> Response {
+        let (to, function, payload) = (self.at, function.to_owned(), payload.as_bytes().to_vec());
+        let timeout = Duration::from_secs(15);
+        invoke(&Invoke { to, function, payload, deferred, mark: None, timeout }).unwrap()
+    }
+
+    fn raw(&self, bytes: &[u8]) -> TcpStream {
+        let mut stream = TcpStream::connect(self.at).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+        stream.write_all(bytes).unwrap();
+        stream
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Stage {
+    folder: tempfile::TempDir,
+    recorder: Recorder,
+    workers: Vec<Running<Command>>,
+}
+
+const WORKLOADS: &str = r#"
+[[workloads]]
+name = "again"
+effect = "restartable"
+time_limit = "1500ms"
+
+[[workloads]]
+name = "once"
+effect = "run-once"
+time_limit = "600ms"
+
+[[functions]]
+name = "echo"
+workload = "again"
+
+[[functions]]
+name = "pay"
+workload = "once"
+
+[[functions]]
+name = "dead"
+workload = "again"
+
+[copies]
+tells_warm = true
+
+[reports]
+source = "answers"
+fields = [{ field = "held", metric = "named_metrics.inflight" }]
+"#;
+
+impl Stage {
+    fn new(workers: usize) -> Stage {
+        let recorder = Recorder::default();
+        let folder = tempfile::tempdir().unwrap();
+        let workers = (0..workers).map(|_| {
+            let machine = Machine { cores: 4.0, ..Machine::default() };
+            let config = Config { machine, recorder: Some(recorder.clone()), ..Config::default() };
+            spawn(any(), move |handle, address| WorkerStandIn::new(handle, address, config)).unwrap()
+        });
+        Stage { folder, workers: workers.collect(), recorder }
+    }
+
+    fn gateway_with(&self, gateway: &str, more: &str) -> Gateway {
+        let mut text =
+            format!("[gateway]\nlisten = [\"127.0.0.1:0\"]\nseed = 1\n{gateway}\n{WORKLOADS}\n{more}\n");
+        if !more.contains("[roster]") {
+            for worker in &self.workers {
+                text.push_str(&format!("[[workers]]\naddress = \"{}\"\n", worker.address));
+            }
+        }
+        let file = self.folder.path().join("gateway.toml");
+        std::fs::write(&file, text).unwrap();
+        Gateway::start(&file)
+    }
+
+    fn gateway(&self) -> Gateway {
+        self.gateway_with("", "")
+    }
+
+    fn faults(&self, worker: usize, faults: Faults) {
+        self.workers[worker].tell(Command::Faults(faults));
+    }
+
+    fn all(&self, faults: &Faults) {
+        (0..self.workers.len()).for_each(|n| self.faults(n, faults.clone()));
+    }
+
+    /// Waits until the record shows what is asked for.
+    fn wait<T>(&self, what: &str, find: impl Fn(&[Seen]) -> Option<T>) -> T {
+        let until = Instant::now() + Duration::from_secs(15);
+        loop {
+            let seen: Vec<Seen> = self.recorder.lines().into_iter().map(|line| line.seen).collect();
+            if let Some(found) = find(&seen) {
+                return found;
+            }
+            assert!(Instant::now() < until, "never seen: {what}");
+            std::thread::sleep(MS);
+        }
+    }
+
+    fn came(&self, key: &str) -> usize {
+        let of = |line: &quartzdrift_lab::record::Line| matches!(&line.seen, Seen::Came { key: of, .. } if of == key);
+        self.recorder.lines().iter().filter(|line| of(line)).count()
+    }
+}
+
+fn came(seen: &[Seen], wanted: &str) -> Option<String> {
+    seen.iter().find_map(|seen| match seen {
+        Seen::Came { key, worker, .. } if key == wanted => Some(worker.clone()),
+        _ => None,
+    })
+}
+
+fn function_error(answer: &Response) -> Option<&str> {
+    answer.headers.get("x-amz-function-error")
+}
+
+#[test]
+fn a_call_goes_through_and_errors_have_their_published_form() {
+    let stage = Stage::new(2);
+    let gateway = stage.gateway_with("", "[limits]\npayload_bytes = 1000\n");
+    let answer = gateway.invoke("echo", r#"{"a": 1}"#);
+    assert_eq!((answer.status, &answer.body[..]), (200, &br#"{"a": 1}"#[..]));
+    assert!(answer.headers.get("x-amzn-requestid").is_some());
+    assert_eq!(answer.headers.get("x-amz-executed-version"), Some("$LATEST"));
+    assert!(answer.headers.get("endpoint-load-metrics").is_none(), "reports are not for clients");
+    for (function, payload, status, kind) in [
+        ("nobody", "{}", 404, "ResourceNotFoundException"),
+        ("echo", "{", 400, "InvalidRequestContentException"),
+        ("echo", &format!("\"{}\"", "x".repeat(1000)), 413, "RequestTooLargeException"),
+    ] {
+        let answer = gateway.invoke(function, payload);
+        assert_eq!((answer.status, answer.headers.get("x-amzn-errortype")), (status, Some(kind)));
+        assert!(String::from_utf8_lossy(&answer.body).contains("\"Type\":\"User\""));
+    }
+}
+
+#[test]
+fn a_silent_worker_costs_a_run_once_job_its_time_and_no_second_execution() {
+    let stage = Stage::new(2);
+    let gateway = stage.gateway();
+    stage.all(&Faults { silent: true, ..Faults::default() });
+    let start = Instant::now();
+    let answer = gateway.invoke("pay", r#"{"key": "p1"}"#);
+    assert_eq!((answer.status, function_error(&answer)), (200, Some("Unhandled")));
+    assert!(String::from_utf8_lossy(&answer.body).contains("Quartzdrift.TimeLimit"));
+    assert!(start.elapsed() < 1500 * MS);
+    assert_eq!(stage.came("p1"), 1);
+}
+
+#[test]
+fn a_crashed_worker_sends_a_restartable_job_elsewhere_and_kills_a_run_once_job() {
+    let stage = Stage::new(2);
+    let gateway = stage.gateway();
+    stage.all(&Faults { silent: true, ..Faults::default() });
+    std::thread::scope(|scope| {
+        let again = scope.spawn(|| gateway.invoke("echo", r#"{"key": "e1"}"#));
+        let once = scope.spawn(|| gateway.invoke("pay", r#"{"key": "p1"}"#));
+        let holds = |key| stage.wait(key, |seen| came(seen, key));
+        let (of_again, of_once) = (holds("e1"), holds("p1"));
+        let at = |worker: &str| stage.workers.iter().position(|w| w.address.to_string() == worker).unwrap();
+        let crashed = at(&of_again);
+        stage.faults(1 - crashed, Faults::default());
+        stage.workers[crashed].tell(Command::Crash);
+        if of_once != of_again {
+            stage.workers[at(&of_once)].tell(Command::Crash);
+            stage.workers[at(&of_once)].tell(Command::Start);
+        }
+        let again = again.join().unwrap();
+        assert!(again.status == 200 && function_error(&again).is_none(), "{}", again.status);
+        let once = once.join().unwrap();
+        assert_eq!((once.status, function_error(&once)), (200, Some("Unhandled")));
+        assert_eq!(stage.came("p1"), 1);
+    });
+    assert!(stage.came("e1") >= 2);
+}
+
+#[test]
+fn a_worker_that_restarts_under_the_same_name_answers_no_old_job() {
+    let stage = Stage::new(1);
+    let gateway = stage.gateway();
+    stage.all(&Faults { silent: true, ..Faults::default() });
+    std::thread::scope(|scope| {
+        let old = scope.spawn(|| gateway.invoke("pay", r#"{"key": "old"}"#));
+        stage.wait("the old job", |seen| came(seen, "old"));
+        stage.workers[0].tell(Command::Crash);
+        stage.workers[0].tell(Command::Start);
+        let old = old.join().unwrap();
+        assert!(String::from_utf8_lossy(&old.body).contains("Quartzdrift.Killed"));
+    });
+    let fresh = gateway.invoke("echo", r#"{"key": "new"}"#);
+    assert_eq!((fresh.status, &fresh.body[..]), (200, &br#"{"key": "new"}"#[..]));
+}
+
+#[test]
+fn a_client_that_hangs_up_has_its_run_once_job_sent_once() {
+    let stage = Stage::new(2);
+    let gateway = stage.gateway();
+    stage.all(&Faults { slow: 200 * MS, ..Faults::default() });
+    let body = r#"{"key": "left"}"#;
+    let request = format!(
+        "POST /2015-03-31/functions/pay/invocations HTTP/1.1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let client = gateway.raw(request.as_bytes());
+    stage.wait("the job", |seen| came(seen, "left"));
+    drop(client);
+    stage.wait("its end", |seen| {
+        let over = |seen: &&Seen| matches!(seen, Seen::Over { .. });
+        seen.iter().find(over).map(drop)
+    });
+    assert_eq!(gateway.invoke("pay", r#"{"key": "next"}"#).status, 200);
+    assert_eq!(stage.came("left"), 1);
+}
+
+#[test]
+fn with_every_worker_gone_calls_are_pushed_back_with_a_time() {
+    let stage = Stage::new(2);
+    let gateway = stage.gateway();
+    stage.workers.iter().for_each(|worker| worker.tell(Command::Crash));
+    stage.wait("nobody there", |_| TcpStream::connect(stage.workers[1].address).is_err().then_some(()));
+    let answer = gateway.invoke("pay", "{}");
+    assert_eq!(
+        (answer.status, answer.headers.get("x-amzn-errortype")),
+        (429, Some("TooManyRequestsException"))
+    );
+    let seconds: u64 = answer.headers.get("retry-after").unwrap().parse().unwrap();
+    let ms: u64 = answer.headers.get("x-quartzdrift-come-back-ms").unwrap().parse().unwrap();
+    assert!(seconds * 1000 >= ms);
+}
+
+#[test]
+fn half_a_head_and_idle_connections_do_not_hold_up_calls() {
+    let stage = Stage::new(1);
+    let gateway = stage.gateway_with("", "[limits]\nconnections = 100\nreceive = \"200ms\"\n");
+    let idle: Vec<TcpStream> = (0..1000).map(|_| gateway.raw(b"")).collect();
+    let mut half = gateway.raw(b"POST /2015-03-31/functions/ec");
+    assert_eq!(gateway.invoke("echo", "{}").status, 200);
+    let mut said = String::new();
+    half.read_to_string(&mut said).unwrap();
+    assert!(said.starts_with("HTTP/1.1 400"), "{said}");
+    drop(idle);
+}
+
+#[test]
+fn pipelined_calls_of_many_clients_never_mix() {
+    let stage = Stage::new(3);
+    let gateway = stage.gateway();
+    gateway.invoke("echo", "{}");
+    std::thread::scope(|scope| {
+        for client in 0..8 {
+            let gateway = &gateway;
+            scope.spawn(move || {
+                let mut text = String::new();
+                for n in 0..20 {
+                    let body = format!("{{\"client\": {client}, \"n\": {n}}}");
+                    let length = body.len();
+                    text.push_str(&format!(
+                        "POST /2015-03-31/functions/echo/invocations HTTP/1.1\r\ncontent-length: {length}\r\n\r\n{body}"
+                    ));
+                }
+                let mut stream = gateway.raw(text.as_bytes());
+                let (mut seen, mut part) = (String::new(), [0; 65536]);
+                let last = format!("{{\"client\": {client}, \"n\": 19}}");
+                while !seen.contains(&last) {
+                    let n = stream.read(&mut part).unwrap();
+                    assert!(n > 0, "{seen}");
+                    seen.push_str(&String::from_utf8_lossy(&part[..n]));
+                }
+                let order: Vec<usize> =
+                    (0..20).map(|n| seen.find(&format!("{{\"client\": {client}, \"n\": {n}}}")).unwrap()).collect();
+                assert!(order.is_sorted(), "answers out of order");
+                assert_eq!(seen.matches("\"client\"").count(), 20, "another client's bytes");
+            });
+        }
+    });
+}
+
+#[test]
+fn deferred_jobs_run_and_dead_ones_reach_their_destination() {
+    let stage = Stage::new(1);
+    let more = "[deferred]\ntries = 2\nwait = \"10ms\"\nlongest_wait = \"20ms\"\non_failure = { function = \"dead\" }\n";
+    let gateway = stage.gateway_with("", more);
+    assert_eq!(gateway.call("echo", r#"{"key": "later"}"#, true).status, 202);
+    stage.wait("the deferred job", |seen| came(seen, "later"));
+    // A run-once job whose worker was lost may have run: it is not tried again, its record goes to the dead.
+    stage.faults(0, Faults { lost: 1.0, ..Faults::default() });
+    assert_eq!(gateway.call("pay", r#"{"key": "doubt"}"#, true).status, 202);
+    stage.wait("the end of the doubtful job", |seen| {
+        let over = seen.iter().filter(|seen| matches!(seen, Seen::Over { .. })).count();
+        came(seen, "doubt").filter(|_| over >= 2)
+    });
+    stage.faults(0, Faults::default());
+    stage.wait("its record", |seen| came(seen, "dead:doubt"));
+    assert_eq!(stage.came("doubt"), 1);
+}
+
+#[test]
+fn deferred_jobs_beyond_their_room_are_pushed_back() {
+    let stage = Stage::new(1);
+    let gateway = stage.gateway_with("", "[deferred]\nbytes = 2000\n");
+    stage.all(&Faults { silent: true, ..Faults::default() });
+    let answers: Vec<u16> =
+        (0..6).map(|_| gateway.call("echo", r#"{"pad": "xxxxxxxx"}"#, true).status).collect();
+    assert_eq!(answers, [202, 202, 202, 429, 429, 429]);
+}
+
+#[test]
+fn timers_fire() {
+    let stage = Stage::new(1);
+    let timer = "[[timers]]\nname = \"tick\"\nfunction = \"echo\"\ncron = \"* * * * * *\"\npayload = '{\"key\": \"tick\"}'\n";
+    let _gateway = stage.gateway_with("", timer);
+    stage.wait("two firings", |seen| {
+        let fired = |seen: &&Seen| matches!(seen, Seen::Came { key, .. } if key == "tick");
+        (seen.iter().filter(fired).count() >= 2).then_some(())
+    });
+}
+
+#[test]
+fn a_stopping_gateway_answers_what_it_holds_and_takes_nothing_new() {
+    let stage = Stage::new(1);
+    let mut gateway = stage.gateway_with("drain = \"5s\"", "");
+    gateway.invoke("echo", "{}");
+    stage.all(&Faults { slow: 400 * MS, ..Faults::default() });
+    let body = r#"{"key": "held"}"#;
+    let head = "POST /2015-03-31/functions/echo/invocations HTTP/1.1\r\ncontent-length";
+    let mut held = gateway.raw(format!("{head}: {}\r\n\r\n{body}", body.len()).as_bytes());
+    stage.wait("the job", |seen| came(seen, "held"));
+    gateway.term();
+    let mut said = String::new();
+    held.read_to_string(&mut said).unwrap();
+    assert!(said.starts_with("HTTP/1.1 200") && said.contains("connection: close"), "{said}");
+    assert!(gateway.ended());
+    assert!(TcpStream::connect(gateway.at).is_err());
+}
+
+#[test]
+fn a_drain_told_by_the_roster_moves_work_and_a_restart_uses_the_saved_list() {
+    let stage = Stage::new(2);
+    let workers: Vec<String> = stage.workers.iter().map(|w| w.address.to_string()).collect();
+    let first = workers.iter().map(|worker| Listed::up(worker)).collect();
+    let recorder = stage.recorder.clone();
+    let roster =
+        spawn(any(), move |handle, _| Roster::new(handle, first, Duration::ZERO, Some(recorder))).unwrap();
+    let state = stage.folder.path().join("state");
+    let of = format!(
+        "[roster]\nurl = \"http://{}/workers/1\"\nstream = true\nevery = \"100ms\"\n",
+        roster.address
+    );
+    let gateway = stage.gateway_with(&format!("state = \"{}\"", state.display()), &of);
+    stage.wait("the list", |_| (gateway.invoke("echo", "{}").status == 200).then_some(()));
+    let state_of = |worker: &str, state| Listed { state, ..Listed::up(worker) };
+    let draining = quartzdrift_choice::interface::State::Draining;
+    roster.tell(roster::Command::Set(state_of(&workers[0], draining)));
+    stage.wait("the drain", |seen| seen.iter().find(|s| matches!(s, Seen::ToldAway { .. })).map(drop));
+    // The news is on the gateway's socket; give it the grace that the rule gives.
+    std::thread::sleep(Duration::from_millis(250));
+    for n in 0..30 {
+        gateway.invoke("echo", &format!("{{\"key\": \"after-{n}\"}}"));
+    }
+    let lines = stage.recorder.lines();
+    let after = lines.iter().filter_map(|line| match &line.seen {
+        Seen::Came { key, worker, .. } if key.starts_with("after-") => Some(worker.clone()),
+        _ => None,
+    });
+    assert!(after.clone().count() >= 30 && after.into_iter().all(|worker| worker == workers[1]));
+    // Both the roster and the first gateway are gone: what was saved is enough to go on.
+    stage.wait("the saved list", |_| {
+        std::fs::read_to_string(state.join("workers.json"))
+            .ok()
+            .filter(|list| list.contains("draining"))
+            .map(drop)
+    });
+    drop((gateway, roster));
+    let again = Gateway::start(&stage.folder.path().join("gateway.toml"));
+    assert_eq!(again.invoke("echo", r#"{"key": "saved"}"#).status, 200);
+}
+
+#[test]
+fn a_short_bad_day_keeps_the_rules_and_a_naive_gateway_breaks_them() {
+    let day = "gateways 2\nworkers 4 cores=2 memory=1600 cold=0.3 cold-for=1s fall=4 fall-window=1s\nroster lag=100ms\n\
+        workload quote restartable rate=80 work=5ms limit=1s functions=4 memory=100 load=50ms\n\
+        workload refund run-once rate=60 work=5ms limit=1s functions=2 memory=100 load=50ms\n\
+        workload mail restartable deferred rate=10 work=5ms limit=1s load=50ms\n\
+        length 4s\nat 1s crash worker 0\nat 1500ms start worker 0\nat 1s lose worker 1 0.4\nat 2s well worker 1\n\
+        at 2s silent worker 2\nat 2500ms drain worker 3\nat 2500ms kill gateway 1\nat 3s start gateway 1\nat 3s well worker 2\n";
+    let script = script::read(day).unwrap();
+    let good = badday::play(&script, &Program::lab(Path::new(LAB), "gateway"), 3).unwrap();
+    assert_eq!(good.broken, [], "a rule was broken");
+    assert!(good.tally.finished > 200 && good.tally.taken > 10, "{:?}", good.tally);
+    let bad = badday::play(&script, &Program::lab(Path::new(LAB), "naive"), 3).unwrap();
+    let rules: std::collections::BTreeSet<Rule> = bad.broken.iter().map(|broken| broken.rule).collect();
+    assert!(rules.contains(&Rule::EffectTwice) && rules.contains(&Rule::TwoAtOnce), "{rules:?}");
+    assert!(!audit(&bad.lines, &bad.terms).is_empty());
+}
