--- a/crates/quartzdrift-lab/src/lib.rs
+++ b/crates/quartzdrift-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`store`], [`roster`]: stand-ins for the store that functions are fetched from and for the list of workers.
 //! * [`clients`], [`load`]: clients of a day, and open-loop load with a report.
 //! * [`script`], [`badday`], [`record`], [`audit`]: days of troubles, what passed on the sockets, and the verdict.
+//! * [`measure`], with [`light`] workers: what a gateway costs.
 //! * [`actor`]: the event loop that stand-ins run on.
 //! * [`naive`]: a gateway that breaks the rules, to prove that the auditor sees it.
 pub mod actor;
@@ -11,7 +12,9 @@
 pub mod badday;
 pub mod clients;
 pub mod functions;
+pub mod light;
 pub mod load;
+pub mod measure;
 pub mod model;
 pub mod naive;
 pub mod record;
--- /dev/null
+++ b/crates/quartzdrift-lab/src/light.rs
@@ -0,0 +1,77 @@
+//! Workers that do nothing but answer, many on one thread: what a gateway costs is then seen beside them.
+use crate::actor::StandIn;
+use calloop::LoopHandle;
+use quartzdrift_http::{Exchange, HasHttp, Headers, Http, HttpEvent, Limits, Response};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+pub struct Light {
+    http: Http<Light>,
+    start: Instant,
+    delay: Duration,
+    held: VecDeque<(Duration, Exchange)>,
+    answer: Response,
+}
+
+impl HasHttp for Light {
+    fn http(&mut self) -> &mut Http<Light> {
+        &mut self.http
+    }
+}
+
+impl Light {
+    /// Answers on all of `listeners`, each call after `delay`.
+    pub fn new(handle: LoopHandle<'static, Light>, listeners: Vec<TcpListener>, delay: Duration) -> Light {
+        let limits = Limits { idle: Duration::from_secs(600), connections: 100_000, ..Limits::default() };
+        let mut http = Http::new(handle, limits);
+        for listener in listeners {
+            if let Err(e) = http.listen(listener) {
+                eprintln!("a light worker cannot listen: {e}");
+            }
+        }
+        let headers = Headers::new()
+            .with("content-type", "application/json")
+            .with("endpoint-load-metrics", "TEXT named_metrics.inflight=1,named_metrics.found=1");
+        let answer = Response { status: 200, headers, body: b"{\"ok\":true}".to_vec() };
+        Light { http, start: Instant::now(), delay, held: VecDeque::new(), answer }
+    }
+}
+
+/// Listeners at free ports, and their addresses.
+pub fn listeners(count: usize) -> std::io::Result<(Vec<TcpListener>, Vec<SocketAddr>)> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let all = (0..count).map(|_| quartzdrift_http::bind(any)).collect::<Result<Vec<_>, _>>()?;
+    let addresses = all.iter().map(TcpListener::local_addr).collect::<Result<Vec<_>, _>>()?;
+    Ok((all, addresses))
+}
+
+impl StandIn for Light {
+    type Command = ();
+
+    fn event(&mut self, event: HttpEvent) {
+        if let HttpEvent::Request { exchange, request: Ok(_) } = event {
+            if self.delay.is_zero() {
+                self.http.answer(exchange, &self.answer);
+            } else {
+                self.held.push_back((self.now() + self.delay, exchange));
+            }
+        }
+    }
+
+    fn command(&mut self, (): ()) {}
+
+    fn next_due(&self) -> Option<Duration> {
+        self.held.front().map(|(at, _)| *at)
+    }
+
+    fn due(&mut self, now: Duration) {
+        while let Some((_, exchange)) = self.held.pop_front_if(|(at, _)| *at <= now) {
+            self.http.answer(exchange, &self.answer);
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -1,5 +1,5 @@
 //! The lab's command line.
-use quartzdrift_lab::{actor, audit, badday, load, naive, roster, script, store, worker};
+use quartzdrift_lab::{actor, audit, badday, load, measure, naive, roster, script, store, worker};
 
 use clap::{Parser, Subcommand};
 use quartzdrift::{logs, serve, settings};
@@ -95,6 +95,14 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Measure what a gateway costs: calls a second, time added, memory
+    Measure {
+        /// All of them, where none is named
+        what: Vec<measure::What>,
+        /// Jobs over which memory must stay flat
+        #[arg(long, default_value_t = 1_000_000.0)]
+        jobs: f64,
+    },
     /// Judge a record that was kept
     Audit { record: PathBuf },
     /// Run a stand-in roster that lists these workers
@@ -154,6 +162,8 @@
             let plan = load::Plan { to, mix, rate, length, payload, deferred, out_most, timeout, even, seed };
             load::run(plan).map(|report| println!("{report}"))
         }
+        Command::Measure { what, jobs } => std::env::current_exe()
+            .and_then(|lab| measure::run(&lab, &what, jobs, &mut std::io::stdout().lock())),
         Command::Audit { record } => {
             return match badday::load(&record) {
                 Ok((terms, lines)) => judged(&audit::audit(&lines, &terms)),
--- /dev/null
+++ b/crates/quartzdrift-lab/src/measure.rs
@@ -0,0 +1,260 @@
+//! What a gateway costs: calls a second, time added, memory. Each measure is one run against workers that only
+//! answer, beside the same load sent straight to one of them.
+use crate::actor;
+use crate::light::{self, Light};
+use crate::load::{self, Plan, Report};
+use quartzdrift_choice::choice::Scheduler;
+use quartzdrift_choice::interface::*;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Ticks of the kernel's clock in a second, as /proc tells times (USER_HZ is 100 on every Linux of today).
+const TICKS: f64 = 100.0;
+
+struct Gateway {
+    child: Child,
+    at: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Gateway {
+    fn start(lab: &Path, workers: &[SocketAddr], connections: usize) -> io::Result<Gateway> {
+        let mut text = format!(
+            "[gateway]\nlisten = [\"127.0.0.1:0\"]\nseed = 1\n[log]\nfilter = \"warn\"\n\
+             [limits]\nconnections = {connections}\nconnections_each_worker = {connections}\n\
+             [[workloads]]\nname = \"quick\"\neffect = \"restartable\"\ntime_limit = \"30s\"\n\
+             [allowed]\nconnect_timeout = \"5s\"\n\
+             [copies]\ntells_warm = true\nkeep = \"60s\"\n\
+             [reports]\nsource = \"answers\"\nfields = [{{ field = \"held\", metric = \"named_metrics.inflight\" }}]\n\
+             [deferred]\njobs = 1000000\nout = 10000\n"
+        );
+        for n in 0..20 {
+            text.push_str(&format!("[[functions]]\nname = \"f{n}\"\nworkload = \"quick\"\n"));
+        }
+        for worker in workers {
+            text.push_str(&format!("[[workers]]\naddress = \"{worker}\"\n"));
+        }
+        let folder = tempfile::tempdir()?;
+        let file = folder.path().join("gateway.toml");
+        std::fs::write(&file, text)?;
+        let mut child = Command::new(lab).arg("gateway").arg(&file).stdout(Stdio::piped()).spawn()?;
+        let out = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
+        let mut line = String::new();
+        BufReader::new(out).read_line(&mut line)?;
+        let at = line.trim().rsplit('/').next().and_then(|at| at.parse().ok());
+        let at = at.ok_or_else(|| io::Error::other(format!("the gateway did not start: {line:?}")))?;
+        Ok(Gateway { child, at, _folder: folder })
+    }
+
+    /// Seconds of processor time so far.
+    fn cpu(&self) -> io::Result<f64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let after = stat.rsplit(')').next().unwrap_or("");
+        let field =
+            |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+        Ok((field(11) + field(12)) / TICKS)
+    }
+
+    /// Resident memory in MB.
+    fn memory(&self) -> io::Result<f64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse::<f64>().ok());
+        Ok(kb.unwrap_or(0.0) / 1024.0)
+    }
+}
+
+fn plan(to: SocketAddr, rate: f64, seconds: f64, out_most: usize) -> Plan {
+    Plan {
+        to: vec![to],
+        mix: (0..20).map(|n| (format!("f{n}"), 1.0)).collect(),
+        rate,
+        length: Duration::from_secs_f64(seconds),
+        payload: "{\"a\":1}".to_owned(),
+        deferred: false,
+        out_most,
+        timeout: Duration::from_secs(30),
+        even: false,
+        seed: 1,
+    }
+}
+
+fn workers(count: usize, delay: Duration) -> io::Result<(actor::Running<()>, Vec<SocketAddr>)> {
+    let (listeners, addresses) = light::listeners(count)?;
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let running = actor::spawn(any, move |handle, _| Light::new(handle, listeners, delay))?;
+    Ok((running, addresses))
+}
+
+fn times(report: &Report) -> [f64; 3] {
+    let finished = report.times.get("finished");
+    [0.5, 0.99, 0.999].map(|share| finished.map_or(f64::NAN, |h| h.value_at_quantile(share) as f64 / 1000.0))
+}
+
+/// Calls a second with one instance busy, and processor time for each.
+fn busiest(lab: &Path, out: &mut impl Write) -> io::Result<()> {
+    writeln!(out, "calls a second, one instance, 64 calls out at a time, workers that answer at once")?;
+    writeln!(out, "{:>8} {:>10} {:>16} {:>10}", "workers", "calls/s", "CPU us a call", "of a core")?;
+    for count in [30, 90, 300] {
+        let (_running, addresses) = workers(count, Duration::ZERO)?;
+        let gateway = Gateway::start(lab, &addresses, 4096)?;
+        load::run(plan(gateway.at, 500.0, 1.0, 64))?;
+        let (cpu, start) = (gateway.cpu()?, Instant::now());
+        let report = load::run(plan(gateway.at, 100_000.0, 5.0, 64))?;
+        let (cpu, took) = (gateway.cpu()? - cpu, start.elapsed().as_secs_f64());
+        let calls = report.times.get("finished").map_or(0, |h| h.len()) as f64;
+        writeln!(out, "{count:>8} {:>10.0} {:>16.1} {:>10.2}", calls / took, cpu / calls * 1e6, cpu / took)?;
+    }
+    Ok(())
+}
+
+/// Time added over the same client that talks straight to a worker.
+fn added(lab: &Path, seconds: f64, out: &mut impl Write) -> io::Result<()> {
+    writeln!(
+        out,
+        "time for a call in ms, random arrivals, 90 workers that answer at once, and straight to one of them"
+    )?;
+    writeln!(
+        out,
+        "{:>8} {:>22} {:>22} {:>22}",
+        "calls/s", "straight 50/99/99.9", "gateway 50/99/99.9", "added 50/99/99.9"
+    )?;
+    for rate in [270.0, 770.0] {
+        let (_running, addresses) = workers(90, Duration::ZERO)?;
+        let gateway = Gateway::start(lab, &addresses, 4096)?;
+        load::run(plan(gateway.at, rate, 1.0, 1000))?;
+        let straight = times(&load::run(plan(addresses[0], rate, seconds, 1000))?);
+        let through = times(&load::run(plan(gateway.at, rate, seconds, 1000))?);
+        let three = |t: [f64; 3]| format!("{:.3}/{:.3}/{:.3}", t[0], t[1], t[2]);
+        let more = [0, 1, 2].map(|n| through[n] - straight[n]);
+        writeln!(out, "{rate:>8} {:>22} {:>22} {:>22}", three(straight), three(through), three(more))?;
+    }
+    Ok(())
+}
+
+/// Memory at rest, with many jobs out, and after many more.
+fn memory(lab: &Path, jobs: f64, out: &mut impl Write) -> io::Result<()> {
+    writeln!(out, "resident memory of one instance in MB, 30 workers")?;
+    {
+        let (_running, addresses) = workers(30, Duration::from_secs(8))?;
+        let gateway = Gateway::start(lab, &addresses, 12_000)?;
+        writeln!(out, "{:<34} {:>8.1}", "at rest", gateway.memory()?)?;
+        // 1,000 of them deferred: each of the others takes two of the 20,000 descriptors that a process gets here.
+        let at = gateway.at;
+        load::run(Plan { deferred: true, even: true, ..plan(at, 1000.0, 1.0, 100) })?;
+        let load = std::thread::spawn(move || load::run(plan(at, 5000.0, 2.0, 9000)));
+        std::thread::sleep(Duration::from_secs(5));
+        writeln!(out, "{:<34} {:>8.1}", "with 10,000 jobs out", gateway.memory()?)?;
+        let report = load.join().map_err(|_| io::Error::other("the load broke"))??;
+        let finished = report.times.get("finished").map_or(0, |h| h.len());
+        writeln!(out, "{:<34} {:>8}", "  of them finished", finished)?;
+    }
+    let (_running, addresses) = workers(30, Duration::ZERO)?;
+    let gateway = Gateway::start(lab, &addresses, 4096)?;
+    for part in 1..=4 {
+        let mut done = 0.0;
+        while done < jobs / 4.0 {
+            let report = load::run(plan(gateway.at, 100_000.0, 2.0, 64))?;
+            done += report.count() as f64;
+        }
+        writeln!(
+            out,
+            "{:<34} {:>8.1}",
+            format!("after {:.0} jobs", jobs / 4.0 * f64::from(part)),
+            gateway.memory()?
+        )?;
+    }
+    Ok(())
+}
+
+/// Cost of a decision with many replaced workers behind it, against the start.
+fn replaced(out: &mut impl Write) -> io::Result<()> {
+    writeln!(out, "microseconds for a decision with 30 workers up, by how many were replaced before")?;
+    let workload = Workload { time_limit: Some(Duration::from_secs(3)), ..Workload::default() };
+    let settings = Settings { workloads: vec![workload], ..Settings::default() };
+    let mut scheduler = Scheduler::new(&settings, 1);
+    let mut now = Duration::from_secs(1000);
+    let mut job = 0;
+    let mut cost = |scheduler: &mut Scheduler, now: &mut Duration| {
+        let start = Instant::now();
+        for _ in 0..2000 {
+            job += 1;
+            *now += Duration::from_millis(1);
+            let function = ["f", "g", "h"][job as usize % 3];
+            let left = Duration::from_secs(3);
+            let actions =
+                scheduler.handle(*now, Event::Job(JobAsked { job, function, left, ..JobAsked::default() }));
+            for action in actions {
+                if let Action::Execute { job, worker, .. } = action {
+                    let (outcome, took) = (Outcome::Finished, Duration::from_millis(5));
+                    scheduler.handle(
+                        *now,
+                        Event::Ended {
+                            job,
+                            execution: 0,
+                            worker: &worker,
+                            outcome,
+                            took,
+                            over: true,
+                            found: Found::Warm,
+                            crowd: None,
+                            report: Vec::new(),
+                        },
+                    );
+                }
+            }
+        }
+        start.elapsed().as_secs_f64() * 1e6 / 2000.0
+    };
+    let mut up = 0;
+    for target in [30, 1000, 10_000] {
+        while up < target {
+            let (new, old) = (format!("w{up}"), format!("w{}", up as i64 - 30));
+            let entry = |worker, state| Entry { worker, state, ..Entry::default() };
+            let entries = vec![entry(&new, State::Up), entry(&old, State::Gone)];
+            scheduler.handle(now, Event::List { form: ListForm::Changes, entries });
+            now += Duration::from_millis(10);
+            up += 1;
+        }
+        let places = scheduler.places().0;
+        writeln!(
+            out,
+            "{:>8} replaced {:>10.1} us ({places} places kept)",
+            up - 30,
+            cost(&mut scheduler, &mut now)
+        )?;
+    }
+    Ok(())
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum What {
+    Busiest,
+    Added,
+    Memory,
+    Replaced,
+}
+
+pub fn run(lab: &Path, what: &[What], jobs: f64, out: &mut impl Write) -> io::Result<()> {
+    let all = [What::Replaced, What::Busiest, What::Added, What::Memory];
+    for one in if what.is_empty() { &all[..] } else { what } {
+        match one {
+            What::Busiest => busiest(lab, out)?,
+            What::Added => added(lab, 10.0, out)?,
+            What::Memory => memory(lab, jobs, out)?,
+            What::Replaced => replaced(out)?,
+        }
+        writeln!(out)?;
+    }
+    Ok(())
+}
--- a/crates/quartzdrift-lab/src/script.rs
+++ b/crates/quartzdrift-lab/src/script.rs
@@ -1,18 +1,20 @@
 //! Scripts of days: small text files, one thing a line, `#` begins a remark.
 //!
-//!     gateways 3
-//!     workers 8 cores=2 memory=1600 keep=8s cold=0.2 cold-for=4s fall=3 fall-window=1s queue=60
-//!     store capacity=8 limit=24 stops-at=0
-//!     roster lag=300ms
-//!     workload quote restartable rate=90 work=8ms limit=3s functions=12 memory=150 load=300ms lanes=2
-//!     workload stamp fingerprinted window=5s rate=40 ...     also run-once; `deferred`; `hang-up=0.01`
-//!     length 30s
-//!     at 4s crash worker 2          also start, silent, hang, well, drain, and with a figure:
-//!     at 4s errors worker 2 0.8     share; also lose; `slow worker 2 500ms`, `late worker 2 2s`
-//!     at 9s replace workers 0 5 every=2s   each is drained, then killed, then started a second later
-//!     at 5s roster lag 3s           also stop, go, empty, full
-//!     at 5s store slow 5            also refuse, serve
-//!     at 7s kill gateway 1          and start
+//! ```text
+//! gateways 3
+//! workers 8 cores=2 memory=1600 keep=8s cold=0.2 cold-for=4s fall=3 fall-window=1s queue=60
+//! store capacity=8 limit=24 stops-at=0
+//! roster lag=300ms
+//! workload quote restartable rate=90 work=8ms limit=3s functions=12 memory=150 load=300ms lanes=2
+//! workload stamp fingerprinted window=5s rate=40 ...     also run-once; `deferred`; `hang-up=0.01`
+//! length 30s
+//! at 4s crash worker 2          also start, silent, hang, well, drain, and with a figure:
+//! at 4s errors worker 2 0.8     share; also lose; `slow worker 2 500ms`, `late worker 2 2s`
+//! at 9s replace workers 0 5 every=2s   each is drained, then killed, then started a second later
+//! at 5s roster lag 3s           also stop, go, empty, full
+//! at 5s store slow 5            also refuse, serve
+//! at 7s kill gateway 1          and start
+//! ```
 use quartzdrift_choice::interface::Effect;
 use std::time::Duration;
 
