--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -6,7 +6,7 @@
 //! inboxes; one loop empties them all before the next event. A job is a call for offers to every worker: set
 //! aside those past the overload bound, rank the rest by cache status, then by fewest estimated jobs.
 use crate::interface::*;
-use crate::measure::{Fading, Histogram, Shares};
+use crate::measure::{Fading, Histogram, Shares, Window};
 use crate::names::{Names, hash};
 use crate::notes::*;
 use crate::post::Post;
@@ -49,6 +49,10 @@
 const HOMES: f64 = 3.0; // most homes of a function for each worker's worth of its jobs: a third fills none
 const HOME_JOBS: f64 = 0.5; // of a copy's lanes, jobs of one function in progress at a home: half are free
 const ASKED_HALF: Duration = Duration::from_secs(15); // in which a function's popularity forgets half
+const AHEAD_SURE: f64 = 0.5; // chance of use for a load ahead: each that is used pays for one that is not
+const RENEW_SURE: f64 = 0.2; // the same to keep a copy that stands, which costs no fetch
+const MEMORY_MOST: f64 = 0.85; // share of memory taken past which a load ahead pushes out what is in use
+const HOLD: Duration = Duration::from_secs(5); // without loads ahead after a failed or slow one: a recovery
 const SWEEP: Duration = Duration::from_secs(60); // between sweeps of old marks and names: many keep-alives
 const FORGET: Duration = Duration::from_secs(600); // after it left: no list brings a worker back later
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
@@ -82,6 +86,15 @@
     schedulers: f64,
     retry_after: Option<Duration>,
     held_field: Option<usize>,
+    memory_field: Option<usize>,
+    /// Load orders: whether they may be given, and how many in each window.
+    orders: bool,
+    load_free: f64,
+    load_share: f64,
+    /// Points for a fetch from the store, and for all memory held idle.
+    fetch_price: f64,
+    memory_price: f64,
+    memory_mb: Vec<f64>,
     /// What is reported is a count of jobs, not how busy a worker is.
     counts: bool,
     tells_warm: bool,
@@ -95,6 +108,7 @@
     group: Group,
     window: Duration,
     importance: f64,
+    start_target: Duration,
     /// What executions took that found a copy, and those that had to load.
     quick: Histogram,
     slow: Histogram,
@@ -153,6 +167,8 @@
     /// Executions given up that may still be worked on, until when.
     ghosts: Vec<Duration>,
     others: Option<(f64, Duration)>,
+    /// Share of its memory that cannot be freed, as last told.
+    memory: f64,
     heard: Duration,
     cold_since: Option<Duration>,
     /// The half window of the cold rule that we are in, and the work sent in it.
@@ -373,6 +389,11 @@
     post: Post<Note>,
     now: Duration,
     swept: Duration,
+    /// Jobs taken and load orders given within the ration's window, and until when no load ahead is ordered.
+    taken: Window,
+    ordered: Window,
+    hold_until: Duration,
+    loads: Histogram,
     /// When to subscribe to the list of workers, where it must be asked for.
     watch_at: Option<Duration>,
     actions: Vec<Action>,
@@ -384,11 +405,13 @@
         let field = |kind| settings.report_fields.iter().position(|&f| f == kind);
         // Jobs waiting are the least that a worker holds.
         let counted = field(ReportField::Held).or(field(ReportField::Queued));
+        let load_window = copies.load_window.filter(|window| !window.is_zero());
         let histogram = Histogram::new(FIRST_BIN, BIN_RATIO, BINS, HALVE_AT);
         let kind = |w: &Workload| Kind {
             effect: w.effect,
             group: w.group,
             window: w.window.unwrap_or_default(),
+            start_target: w.start_target.or(w.time_limit).unwrap_or(PATIENCE_BLIND),
             importance: w.importance.unwrap_or(1.0),
             quick: histogram.clone(),
             slow: histogram.clone(),
@@ -406,6 +429,13 @@
             schedulers: f64::from(settings.schedulers.unwrap_or(1).max(1)),
             retry_after: allowed.retry_after.then_some(allowed.max_retry_after.unwrap_or(COME_BACK)),
             held_field: counted.or(field(ReportField::Busy)),
+            memory_field: field(ReportField::MemoryTaken),
+            orders: copies.orders,
+            load_free: load_window.map_or(f64::INFINITY, |_| copies.load_free.unwrap_or(0.0)),
+            load_share: copies.load_share.unwrap_or(0.0),
+            fetch_price: settings.prices.origin,
+            memory_price: copies.idle_memory_price.unwrap_or(0.0),
+            memory_mb: copies.memory_mb_by_kind.clone(),
             counts: counted.is_some(),
             shared: counted.is_some() && settings.customers.len() > 1,
             tells_warm: copies.tells_warm,
@@ -422,6 +452,9 @@
             asked_worth: Shares::new(ASKED_HALF),
             done: Shares::new(ASKED_HALF),
             took: Shares::new(ASKED_HALF),
+            loads: histogram,
+            taken: Window::new(load_window.unwrap_or_default().saturating_sub(Duration::from_nanos(1))),
+            ordered: Window::new(load_window.unwrap_or_default()),
             ..Scheduler::default()
         }
     }
@@ -444,7 +477,9 @@
             Event::Job(asked) => self.job(&asked),
             Event::Ended { job, execution, worker, outcome, took, over, found, crowd: _, report } => {
                 let worker = self.worker(worker);
-                let held = self.figures.held_field.and_then(|at| report.get(at).copied().flatten());
+                let told = |field: Option<usize>| field.and_then(|at| report.get(at).copied().flatten());
+                let held = told(self.figures.held_field);
+                self.workers[worker].memory = told(self.figures.memory_field).unwrap_or(0.0);
                 let room = self.figures.shared && held.is_some_and(|held| held < BOUND_LEAST);
                 let ending = Ending { job, execution, outcome, found, held, room };
                 self.judge(&ending, worker, took, over);
@@ -462,7 +497,11 @@
                     self.actions.push(Action::Watch { on: true });
                 }
             }
-            Event::Streaming { .. } | Event::Probed { .. } | Event::Heard { .. } | Event::Loaded { .. } => {}
+            Event::Expected(expected) => self.expected(&expected),
+            Event::Loaded { worker, function, outcome, took, copies } => {
+                self.loaded(worker, function, outcome, took, copies);
+            }
+            Event::Streaming { .. } | Event::Probed { .. } | Event::Heard { .. } => {}
         }
         while let Some((part, note)) = self.post.next() {
             match part.checked_sub(1) {
@@ -480,8 +519,7 @@
 
     /// Gives up the places of workers that left long ago, unless a job still names them.
     fn forget_gone(&mut self) {
-        let named = self.jobs.values().flat_map(|job| &job.tried).copied();
-        let keep: BTreeSet<usize> = named.collect();
+        let keep: BTreeSet<usize> = self.jobs.values().flat_map(|job| &job.tried).copied().collect();
         let (workers, oldest) = (&mut self.workers, self.now.saturating_sub(FORGET + self.figures.cold_for));
         self.worker_names.forget(|ix| {
             let worker = &workers[ix];
@@ -533,9 +571,7 @@
         while self.workers.len() <= ix {
             self.workers.push(Worker { ix: self.workers.len(), ..Worker::default() });
         }
-        if self.workers[ix].home == 0 {
-            self.workers[ix].home = hash(&name);
-        }
+        self.workers[ix].home = hash(&name);
         ix
     }
 
@@ -567,6 +603,7 @@
         }
         let function = self.functions.index(asked.function, self.now);
         let (weight, now) = (self.weight(workload), self.now);
+        self.taken.add(now);
         self.asked.add(function, weight, now);
         self.asked_worth.add(0, self.worth(workload) * weight, now);
         let (give_up, lanes) = (now + asked.left, asked.lanes.unwrap_or(1.0).clamp(1.0, 2.0));
@@ -635,16 +672,16 @@
         });
         let spent = job.executions >= self.figures.max_executions || job.fulls >= FULLS_MOST;
         if std::mem::take(&mut self.relist) {
-            let listed = |worker: &&Worker| worker.listing.state != State::Gone;
-            self.listed = self.workers.iter().filter(listed).map(|worker| worker.ix).collect();
+            let listed = self.workers.iter().filter(|w| w.listing.state != State::Gone);
+            self.listed = listed.map(|w| w.ix).collect();
         }
         if !may_send || spent || job.give_up < self.now + USELESS || self.listed.is_empty() {
             return self.conclude(id);
         }
         let ran = job.may_have_run.filter(|_| kind.effect == Effect::Fingerprinted);
         let confined = ran.map(|(worker, _)| (kind.group, self.workers[worker].listing));
-        let up = |ix: &&usize| self.workers[**ix].listing.state == State::Up;
-        let listed = self.listed.iter().filter(up).count().max(1);
+        let listed =
+            self.listed.iter().filter(|&&ix| self.workers[ix].listing.state == State::Up).count().max(1);
         self.most_listed = self.most_listed.max(listed);
         let fair_rate = self.peak.now(self.now, SWEEP) / self.most_listed as f64;
         let &Job { workload, customer, function, .. } = job;
@@ -687,18 +724,9 @@
         offers.retain(|o| jobs(o) < bound);
         // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each
         // of them, as many as the function's share of the work needs. One job tells nothing of popularity.
-        let asked = (self.asked.part(job.function, self.now) - call.weight).max(0.0);
-        let share = asked / self.asked.all(self.now);
-        let rate = share * self.asked.per_second(self.now) * self.figures.schedulers;
-        let most = rate * self.usual() / (HOME_JOBS * job.lanes);
-        let homes = 1 + (share * HOMES * offers.len() as f64).min(most) as usize;
+        let homes = self.homes(job.function, job.lanes, call.weight, offers.len());
         let name = self.functions.name(job.function);
-        // Faster kinds of machine come first more often, by as much as they are faster.
-        let order = |o: &Offer| {
-            let drawn = hash(&(&name, self.workers[o.worker].home)) as f64 / u64::MAX as f64;
-            (drawn.powf(1.0 / self.pace(o.worker)) * u64::MAX as f64) as u64
-        };
-        offers.sort_by_cached_key(|o| (o.turned, std::cmp::Reverse(order(o))));
+        offers.sort_by_cached_key(|o| (o.turned, std::cmp::Reverse(self.order(&name, o.worker))));
         for home in offers.iter_mut().take(homes) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
@@ -718,6 +746,90 @@
         }
     }
 
+    /// How many homes a function has among so many workers, one job of `less` left out of its popularity.
+    fn homes(&self, function: usize, lanes: f64, less: f64, workers: usize) -> usize {
+        let asked = (self.asked.part(function, self.now) - less).max(0.0);
+        let share = asked / self.asked.all(self.now);
+        let rate = share * self.asked.per_second(self.now) * self.figures.schedulers;
+        let most = rate * self.usual() / (HOME_JOBS * lanes);
+        1 + (share * HOMES * workers as f64).min(most) as usize
+    }
+
+    /// A worker's place in the order for a function that all schedulers agree on, the greatest first.
+    /// Faster kinds of machine come first more often, by as much as they are faster.
+    fn order(&self, function: &str, worker: usize) -> u64 {
+        let drawn = hash(&(function, self.workers[worker].home)) as f64 / u64::MAX as f64;
+        (drawn.powf(1.0 / self.pace(worker)) * u64::MAX as f64) as u64
+    }
+
+    /// Loads ahead of need at the homes of the ordinary path, where a use is likely enough for its price.
+    fn expected(&mut self, e: &Expectation) {
+        let (now, workload) = (self.now, e.workload as usize);
+        if !self.figures.orders || workload >= self.kinds.len() || now < self.hold_until {
+            return;
+        }
+        let function = self.functions.index(e.function, now);
+        let well = |w: &Worker| w.health.get(&workload).is_none_or(|h| h.shuns == 0);
+        let up = |w: &Worker| w.listing.state == State::Up && w.cold_since.is_none() && w.full_until <= now;
+        let mut fit: Vec<usize> = self.workers.iter().filter(|w| up(w) && well(w)).map(|w| w.ix).collect();
+        let jobs: usize = fit.iter().map(|&ix| self.workers[ix].out.len()).sum();
+        if jobs as f64 * self.figures.schedulers > BOUND_ALL * fit.len() as f64 {
+            return;
+        }
+        fit.sort_by_cached_key(|&ix| std::cmp::Reverse(self.order(e.function, ix)));
+        let lanes = e.lanes.unwrap_or(1.0).clamp(1.0, 2.0);
+        let wanted = e.jobs_per_second.map_or(0.0, |n| n * self.usual() / (HOME_JOBS * lanes)) as usize;
+        let homes = self.homes(function, lanes, 0.0, fit.len()).max(wanted);
+        for ix in fit.into_iter().take(homes) {
+            let mark = self.workers[ix].marks.get(&function).copied().unwrap_or_default();
+            let until = mark.known.max(mark.assumed);
+            let stands = mark.stands && until > now;
+            // A copy that stands for that long anyway, or is being loaded, needs no order.
+            if until >= now + e.within || until > now && !stands || !self.worth_loading(e, ix, stands) {
+                continue;
+            }
+            let most = self.figures.load_free + self.figures.load_share * self.taken.count(now) as f64;
+            if self.ordered.count(now) as f64 + 1.0 > most {
+                return;
+            }
+            self.ordered.add(now);
+            self.workers[ix].marks.entry(function).or_default().assumed = now + self.figures.keep;
+            let (worker, function) = (self.worker_names.name(ix), self.functions.name(function));
+            self.actions.push(Action::Load { worker, function, copies: 1 });
+        }
+    }
+
+    /// Weighs the waiting that a load ahead saves against its fetch and the memory it holds, all in jobs.
+    fn worth_loading(&self, e: &Expectation, worker: usize, stands: bool) -> bool {
+        let kind = &self.kinds[e.workload as usize];
+        let load = kind.takes(0.5, true).or(e.load_hint).unwrap_or(PATIENCE_BLIND);
+        let saved = e.sure * (load.as_secs_f64() / kind.start_target.as_secs_f64()).min(1.0);
+        let mb = |ix: usize| self.figures.memory_mb.get(self.workers[ix].listing.kind as usize);
+        let all: f64 = self.listed.iter().filter_map(|&ix| mb(ix)).sum();
+        let part = e.memory_mb.filter(|_| mb(worker).is_some()).map_or(0.0, |own| own / all);
+        let jobs = self.asked.per_second(self.now) * self.figures.schedulers * e.within.as_secs_f64();
+        let memory = self.figures.memory_price * part * jobs;
+        match stands {
+            true => e.sure >= RENEW_SURE && saved > memory,
+            false if self.workers[worker].memory > MEMORY_MOST => false,
+            false => e.sure >= AHEAD_SURE && saved > memory + self.figures.fetch_price,
+        }
+    }
+
+    /// What a load order came to. Guards against a crowded or stopped store, which loads ahead make worse.
+    fn loaded(&mut self, worker: &str, function: &str, outcome: Outcome, took: Duration, copies: u32) {
+        let (ix, function, now) = (self.worker(worker), self.functions.index(function, self.now), self.now);
+        let mark = self.workers[ix].marks.entry(function).or_default();
+        let (good, until) = (outcome == Outcome::Finished && copies > 0, now + self.figures.keep);
+        *mark = if good { Mark { stands: true, known: until, assumed: until } } else { Mark::default() };
+        let usual = self.loads.quantile(0.5).mul_f64(PATIENCE * PATIENCE);
+        let slow = good && self.loads.count() >= ENOUGH && took > usual;
+        good.then(|| self.loads.add(took));
+        if slow || matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Miss) {
+            self.hold_until = now + HOLD;
+        }
+    }
+
     /// Whether a job may run again with so many more executions behind it.
     fn may_go_on(&self, job: &Job, more: u32) -> bool {
         let effect = self.kinds[job.workload].effect;
--- a/crates/quartzdrift-choice/src/interface.rs
+++ b/crates/quartzdrift-choice/src/interface.rs
@@ -234,6 +234,22 @@
     pub writes: bool,
 }
 
+/// What a forecast says of a function's use.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Expectation<'a> {
+    pub function: &'a str,
+    pub workload: u32,
+    /// The span from now on that it speaks of.
+    pub within: Duration,
+    /// Chance of a use in that span.
+    pub sure: f64,
+    /// Jobs of the function that are expected a second in all, where that is known.
+    pub jobs_per_second: Option<f64>,
+    pub memory_mb: Option<f64>,
+    pub lanes: Option<f64>,
+    pub load_hint: Option<Duration>,
+}
+
 /// How an execution, a probe or a load order ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -309,6 +325,8 @@
         took: Duration,
         copies: u32,
     },
+    /// Without it nothing is loaded ahead of need.
+    Expected(Expectation<'a>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -1,10 +1,10 @@
 //! Measurements that forget: a histogram of times in coarse bins and a sum that fades. How coarse and how
 //! fast is for the decision module to say.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Bins grow by a constant ratio from the first one's edge; counts are halved when they reach a limit.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Histogram {
     first: Duration,
     ratio: f64,
@@ -71,6 +71,34 @@
     }
 }
 
+/// Counts exactly what came within the last span, both ends included; a span of zero counts nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    span: Duration,
+    times: VecDeque<Duration>,
+}
+
+impl Window {
+    pub fn new(span: Duration) -> Window {
+        Window { span, times: VecDeque::new() }
+    }
+
+    pub fn add(&mut self, now: Duration) {
+        if !self.span.is_zero() {
+            self.count(now);
+            self.times.push_back(now);
+        }
+    }
+
+    pub fn count(&mut self, now: Duration) -> usize {
+        let since = now.saturating_sub(self.span);
+        while self.times.front().is_some_and(|at| *at < since) {
+            self.times.pop_front();
+        }
+        self.times.len()
+    }
+}
+
 /// Fading sums of several parts and of them all.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -11,6 +11,9 @@
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
 //!     sent 7 to a                expected among the actions since: also `not a`, or neither
+//!     set orders free=2 share=0 window=5s fetch=0.1 memory=1   load orders, their ration and prices
+//!     expect f sure=0.9 within=8s mb=100     a forecast; then `ordered f`, `loaded f` (or error, full),
+//!                                and `sent-there 7`: to the worker where it was loaded
 //!     replace 10000 30 every=1s  a list of 30 workers, of which one is replaced every second, 10000 times
 //!     places-most workers 630    kept, of workers, functions or jobs; also places-least
 //!     pushed-back 7, killed 7, cancelled 7, watched, quiet, sent-most a 5, sent-least a 5,
@@ -33,6 +36,8 @@
     executions: BTreeMap<JobId, u32>,
     sends: BTreeMap<String, u32>,
     kinds: BTreeMap<String, String>,
+    /// Where the last load order found went.
+    ordered: String,
 }
 
 fn span(text: &str) -> Result<Duration, String> {
@@ -115,6 +120,17 @@
             }
             "told" => s.copies.tells_warm = true,
             "cancel" => s.allowed.cancel = true,
+            "orders" => {
+                s.copies.orders = true;
+                s.copies.load_free = value_of(words, "free").map(|w| number(Some(&w))).transpose()?;
+                s.copies.load_share = value_of(words, "share").map(|w| number(Some(&w))).transpose()?;
+                s.copies.load_window = value_of(words, "window").map(span).transpose()?;
+                s.prices.origin = value_of(words, "fetch").map_or(Ok(0.0), |w| number(Some(&w)))?;
+                s.copies.idle_memory_price =
+                    value_of(words, "memory").map(|w| number(Some(&w))).transpose()?;
+                s.copies.memory_mb_by_kind = vec![1000.0];
+            }
+            "report" if value == "memory" => s.report_fields = vec![ReportField::MemoryTaken],
             "report" if value == "held" => s.report_fields = vec![ReportField::Held],
             "discovery" if value == "ask" => s.discovery = Discovery::Ask,
             _ => return Err(format!("no setting: {words:?}")),
@@ -276,6 +292,40 @@
                     return Err(format!("{kept} places are kept"));
                 }
             }
+            "expect" => {
+                let within = span(value_of(words, "within").unwrap_or("8s"))?;
+                let sure = value_of(words, "sure").map_or(Ok(1.0), |w| number(Some(&w)))?;
+                let memory_mb = value_of(words, "mb").map(|w| number(Some(&w))).transpose()?;
+                let function = words.get(1).copied().unwrap_or("f");
+                let of = Expectation { function, within, sure, memory_mb, ..Expectation::default() };
+                self.give(Event::Expected(of));
+            }
+            "ordered" => {
+                let function = words.get(1).copied().unwrap_or("f");
+                let at = self.pending.iter().position(
+                    |a| matches!(a, Action::Load { function: of, copies: 1, .. } if &**of == function),
+                );
+                let at = at.ok_or(format!("no order to load {function} in {:?}", self.pending))?;
+                if let Action::Load { worker, .. } = self.pending.remove(at) {
+                    self.ordered = worker.to_string();
+                }
+            }
+            "loaded" => {
+                let (worker, function) = (self.ordered.clone(), words.get(1).copied().unwrap_or("f"));
+                let (outcome, copies) = match words.get(2) {
+                    Some(&"error") => (Outcome::Error, 0),
+                    Some(&"full") => (Outcome::Full, 0),
+                    _ => (Outcome::Finished, 1),
+                };
+                let took = Duration::from_millis(500);
+                self.give(Event::Loaded { worker: &worker, function, outcome, took, copies });
+            }
+            "sent-there" => {
+                let (job, worker) = (job()?, self.ordered.clone());
+                self.expect("send to where it was loaded", |a| {
+                    matches!(a, Action::Execute { job: of, worker: to, .. } if *of == job && **to == *worker)
+                })?;
+            }
             "forget" => self.pending.clear(),
             "quiet" => {
                 self.pending.retain(|a| !matches!(a, Action::Timer { .. }));
--- a/crates/quartzdrift-desk/src/desk.rs
+++ b/crates/quartzdrift-desk/src/desk.rs
@@ -107,6 +107,10 @@
         function: Rc<str>,
         copies: u32,
     },
+    /// As `Withdraw`, for a load order: then tell [`Desk::order_ended`] that it is moot.
+    WithdrawOrder {
+        order: u64,
+    },
     /// Close the connection of an order or a probe that took too long.
     DropOrder {
         order: u64,
@@ -325,6 +329,19 @@
         let unsent = self.out.iter().filter(|(_, out)| !stays(&out.worker)).map(|(id, _)| *id);
         let withdraw: Vec<_> = unsent.map(|(job, execution)| Output::Withdraw { job, execution }).collect();
         self.outputs.extend(withdraw);
+        let orders = self.orders.iter().filter_map(|(order, of)| match of {
+            Order::Load { worker, .. } if !stays(worker) => Some(Output::WithdrawOrder { order: *order }),
+            Order::Load { .. } | Order::Probe { .. } => None,
+        });
+        let withdraw: Vec<_> = orders.collect();
+        self.outputs.extend(withdraw);
+        self.settle();
+    }
+
+    /// A forecast of a function's use: what may be loaded ahead for it is the module's to say.
+    pub fn expected(&mut self, now: Duration, expectation: Expectation) {
+        self.turn(now);
+        self.feed(Event::Expected(expectation));
         self.settle();
     }
 
--- /dev/null
+++ b/crates/quartzdrift-forecast/src/forecasts.rs
@@ -0,0 +1,320 @@
+use crate::predict::{History, Predictor, Season};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Least chance that is worth saying; what is done with it is decided elsewhere.
+const SAY_LEAST: f64 = 0.15;
+/// Of the keep-alive: when a copy that stands is looked at again, with time left to renew it.
+const LOOK_AGAIN: f64 = 0.75;
+/// Of a load: how much earlier than the use it is to begin.
+const LEAD: f64 = 1.5;
+/// Uses from which on a function's seasons are kept: they take some hundred bytes each.
+const SEASON_USES: u32 = 12;
+/// Share of the functions kept that may be new ones, met once: a scan of functions used once drives out only others.
+const NEW_SHARE: f64 = 0.25;
+/// Times a function is looked at between two uses: the chance of a use long awaited fades anyway.
+const LOOKS_MOST: u32 = 64;
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Functions kept at most.
+    pub functions: usize,
+    /// Least keep-alive of an idle copy.
+    pub keep: Duration,
+    /// Loads take so long where a function's are not known.
+    pub load: Duration,
+    /// Lengths of the seasons, like a day and a week.
+    pub seasons: Vec<Duration>,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let day = Duration::from_secs(86_400);
+        Settings {
+            functions: 100_000,
+            keep: Duration::from_secs(8),
+            load: Duration::from_secs(1),
+            seasons: vec![day, day * 7],
+        }
+    }
+}
+
+/// A use that is expected.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Expected {
+    pub function: String,
+    /// The span from now on that it speaks of.
+    pub within: Duration,
+    pub sure: f64,
+    pub jobs_per_second: Option<f64>,
+    pub by: Predictor,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Track {
+    pub history: History,
+    /// Microseconds of a load, 0 where none is known.
+    pub load_us: u64,
+    /// When it is looked at next, and how often it was since its last use.
+    #[serde(skip)]
+    look: Option<Duration>,
+    #[serde(skip)]
+    looks: u32,
+    /// Not forecast until then.
+    #[serde(skip)]
+    quiet_until: Duration,
+}
+
+pub struct Forecasts {
+    settings: Settings,
+    pub(crate) tracks: BTreeMap<String, Track>,
+    looks: BTreeSet<(Duration, String)>,
+    /// By the last use: first those met once, then the others.
+    new: BTreeSet<(u64, String)>,
+    old: BTreeSet<(u64, String)>,
+}
+
+impl Forecasts {
+    pub fn new(settings: Settings) -> Forecasts {
+        Forecasts {
+            settings,
+            tracks: BTreeMap::new(),
+            looks: BTreeSet::new(),
+            new: BTreeSet::new(),
+            old: BTreeSet::new(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.tracks.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.tracks.is_empty()
+    }
+
+    fn age(track: &Track) -> u64 {
+        (track.history.last * 1e6) as u64
+    }
+
+    /// Takes a track out of the order by age.
+    fn unlist(&mut self, function: &str) {
+        if let Some(track) = self.tracks.get(function) {
+            let key = (Self::age(track), function.to_owned());
+            self.new.remove(&key);
+            self.old.remove(&key);
+            if let Some(look) = track.look {
+                self.looks.remove(&(look, key.1));
+            }
+        }
+    }
+
+    pub(crate) fn list(&mut self, function: &str) {
+        let Some(track) = self.tracks.get(function) else { return };
+        let key = (Self::age(track), function.to_owned());
+        if track.history.uses > 1 {
+            self.old.insert(key)
+        } else {
+            self.new.insert(key)
+        };
+        let room_new = ((self.settings.functions as f64 * NEW_SHARE) as usize).max(1);
+        while self.new.len() + self.old.len() > self.settings.functions.max(1) {
+            // New ones may use what room there is, and give way first once they have more than their share.
+            let oldest = match self.new.len() > room_new || self.old.is_empty() {
+                true => self.new.pop_first(),
+                false => self.old.pop_first(),
+            };
+            if let Some((_, oldest)) = oldest {
+                self.forget(&oldest);
+            }
+        }
+    }
+
+    fn forget(&mut self, function: &str) {
+        if let Some(Track { look: Some(look), .. }) = self.tracks.remove(function) {
+            self.looks.remove(&(look, function.to_owned()));
+        }
+    }
+
+    /// A job of the function came.
+    pub fn used(&mut self, now: Duration, function: &str) {
+        self.unlist(function);
+        let track = self.tracks.entry(function.to_owned()).or_default();
+        if track.history.uses == SEASON_USES {
+            track.history.seasons = self.settings.seasons.iter().map(|period| Season::new(*period)).collect();
+        }
+        track.history.used(now);
+        (track.look, track.looks) = (None, 0);
+        self.list(function);
+        self.plan(now, function);
+    }
+
+    /// A load of the function took so long.
+    pub fn load_took(&mut self, function: &str, took: Duration) {
+        if let Some(track) = self.tracks.get_mut(function) {
+            track.load_us = took.as_micros() as u64;
+        }
+    }
+
+    /// What was said of the function came to nothing: it is not forecast until then.
+    pub fn quiet(&mut self, function: &str, until: Duration) {
+        if let Some(track) = self.tracks.get_mut(function) {
+            track.quiet_until = until;
+        }
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        self.looks.first().map(|(at, _)| *at)
+    }
+
+    /// Chance of a use between two moments after the last one, given that none came before the first.
+    fn chance(history: &History, of: Predictor, from: f64, to: f64) -> f64 {
+        let (a, b) = (history.within(of, from).unwrap_or(0.0), history.within(of, to).unwrap_or(0.0));
+        if a >= 1.0 - 1e-9 { 0.0 } else { ((b - a) / (1.0 - a)).clamp(0.0, 1.0) }
+    }
+
+    fn lead(&self, track: &Track) -> f64 {
+        let load =
+            if track.load_us > 0 { track.load_us as f64 / 1e6 } else { self.settings.load.as_secs_f64() };
+        load * LEAD
+    }
+
+    /// Sets the next moment at which something is worth saying of a function.
+    fn plan(&mut self, now: Duration, function: &str) {
+        let Some(track) = self.tracks.get(function) else { return };
+        let Some((best, _)) = track.history.best() else { return };
+        if track.looks >= LOOKS_MOST {
+            return;
+        }
+        let (keep, lead) = (self.settings.keep.as_secs_f64(), self.lead(track));
+        let since = now.as_secs_f64() - track.history.last;
+        let renew = keep * LOOK_AGAIN;
+        let period = self.settings.seasons.iter().map(Duration::as_secs_f64).fold(keep * 4.0, f64::max);
+        let mut moments = vec![renew.max(since)];
+        // Before each moment at which a use may come: time enough to load.
+        moments.extend(
+            track.history.moments(period).into_iter().map(|at| at - lead).filter(|at| *at > since + 0.01),
+        );
+        moments.sort_by(f64::total_cmp);
+        let worth =
+            |at: &f64| *at >= renew && Self::chance(&track.history, best, *at, *at + keep) >= SAY_LEAST;
+        // What was looked at just now is not looked at again before there is news.
+        let least = if track.looks > 0 { since + renew.min(keep) * 0.99 } else { since };
+        let at = moments.into_iter().filter(|at| *at >= least).find(worth);
+        let Some(at) = at else { return };
+        let at = Duration::try_from_secs_f64(track.history.last + at).unwrap_or(now).max(now);
+        if let Some(track) = self.tracks.get_mut(function) {
+            track.look = Some(at);
+            track.looks += 1;
+            self.looks.insert((at, function.to_owned()));
+        }
+    }
+
+    /// What is expected now. Each is said once, until its function is used or its span is over.
+    pub fn due(&mut self, now: Duration) -> Vec<Expected> {
+        let mut all = Vec::new();
+        while let Some((at, function)) = self.looks.pop_first() {
+            if at > now {
+                self.looks.insert((at, function));
+                break;
+            }
+            let Some(track) = self.tracks.get_mut(&function) else { continue };
+            track.look = None;
+            let (history, quiet) = (&track.history, track.quiet_until > now);
+            if let (Some((by, _)), false) = (history.best(), quiet) {
+                let since = now.as_secs_f64() - history.last;
+                let keep = self.settings.keep;
+                let sure = Self::chance(history, by, since, since + keep.as_secs_f64());
+                if sure >= SAY_LEAST {
+                    let (within, jobs_per_second) = (keep, history.rate(by, now));
+                    all.push(Expected { function: function.clone(), within, sure, jobs_per_second, by });
+                }
+            }
+            self.plan(now, &function);
+        }
+        all
+    }
+
+    /// Functions by the predictor that speaks for them, for reports.
+    pub fn chosen(&self) -> BTreeMap<Predictor, usize> {
+        let mut counts = BTreeMap::new();
+        for (by, _) in self.tracks.values().filter_map(|track| track.history.best()) {
+            *counts.entry(by).or_insert(0) += 1;
+        }
+        counts
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn forecasts(functions: usize) -> Forecasts {
+        Forecasts::new(Settings { functions, ..Settings::default() })
+    }
+
+    const START: Duration = Duration::from_secs(1_000_000);
+
+    #[test]
+    fn a_timer_is_expected_in_time_to_load_and_not_all_the_while() {
+        let mut all = forecasts(10);
+        for n in 0..10u32 {
+            all.used(START + Duration::from_secs(60) * n, "t");
+        }
+        let last = START + Duration::from_secs(540);
+        let mut said = Vec::new();
+        while let Some(at) = all.next_due().filter(|at| *at < last + Duration::from_secs(60)) {
+            said.extend(all.due(at).into_iter().map(|e| (at - last, e)));
+        }
+        assert!(!said.is_empty() && said.len() <= 3, "{said:?}");
+        let (at, first) = &said[0];
+        assert!(*at > Duration::from_secs(45) && *at <= Duration::from_millis(58_500), "{at:?}");
+        assert!(said.iter().any(|(_, e)| e.sure > 0.8), "{said:?}");
+        assert_eq!((first.function.as_str(), first.by), ("t", Predictor::Regular));
+    }
+
+    #[test]
+    fn a_scan_of_functions_used_once_drives_out_none_that_is_used() {
+        let mut all = forecasts(40);
+        for n in 0..5 {
+            (0..20).for_each(|f| all.used(START + Duration::from_secs(n), &format!("f{f}")));
+        }
+        (0..1000).for_each(|n| all.used(START + Duration::from_secs(10 + n), &format!("scan{n}")));
+        assert!((0..20).all(|f| all.tracks.contains_key(&format!("f{f}"))));
+        assert!(all.len() <= 40 && all.looks.len() <= 40);
+    }
+
+    #[test]
+    fn what_came_to_nothing_is_quiet_for_a_while() {
+        let mut all = forecasts(10);
+        for n in 0..10u32 {
+            all.used(START + Duration::from_secs(60) * n, "t");
+        }
+        all.quiet("t", START + Duration::from_secs(3600));
+        while let Some(at) = all.next_due().filter(|at| *at < START + Duration::from_secs(3000)) {
+            assert_eq!(all.due(at), []);
+        }
+    }
+
+    proptest::proptest! {
+        /// Whatever comes, clock steps included: bounds hold, chances are chances, and looking ends.
+        #[test]
+        fn bounds_hold(uses in proptest::collection::vec((0u64..100_000, 0u8..30), 1..200)) {
+            let mut all = forecasts(8);
+            for (ms, function) in uses {
+                let now = START + Duration::from_millis(ms);
+                all.used(now, &format!("f{function}"));
+                let mut turns = 0;
+                while let Some(at) = all.next_due().filter(|at| *at < now + Duration::from_secs(20)) {
+                    for expected in all.due(at) {
+                        proptest::prop_assert!((0.0..=1.0).contains(&expected.sure));
+                    }
+                    turns += 1;
+                    proptest::prop_assert!(turns < 2000, "it never ends");
+                }
+                proptest::prop_assert!(all.len() <= 8 && all.looks.len() <= 8);
+            }
+        }
+    }
+}
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -254,6 +254,15 @@
             Output::Final { job, payload, answer } => self.final_answer(job, &payload, answer),
             Output::Probe { order, worker } => self.probe(order, &worker),
             Output::Load { order, worker, function, copies } => self.load(order, &worker, &function, copies),
+            Output::WithdrawOrder { order } => {
+                let call = self.orders.get(&order).copied();
+                if let Some(call) = call.filter(|call| self.http.unsent_call(*call)) {
+                    self.orders.remove(&order);
+                    self.calls.remove(&call);
+                    self.http.cancel(call);
+                    self.desk.order_ended(self.now(), order, Outcome::Moot, 0, Vec::new());
+                }
+            }
             Output::DropOrder { order } => {
                 if let Some(call) = self.orders.remove(&order) {
                     self.calls.remove(&call);
