--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -155,6 +155,17 @@
         (0..self.workers.len()).for_each(|n| self.faults(n, faults.clone()));
     }
 
+    /// Waits until a worker that was silent answers again.
+    fn answers(&self, worker: usize) {
+        let asks = b"GET /v2/health/ready HTTP/1.1\r\n\r\n";
+        self.wait("an answer of the worker", |_| {
+            let mut stream = TcpStream::connect(self.workers[worker].address).ok()?;
+            stream.set_read_timeout(Some(200 * MS)).ok()?;
+            stream.write_all(asks).ok()?;
+            stream.read(&mut [0; 100]).ok().filter(|n| *n > 0).map(drop)
+        });
+    }
+
     /// Waits until the record shows what is asked for.
     fn wait<T>(&self, what: &str, find: impl Fn(&[Seen]) -> Option<T>) -> T {
         let until = Instant::now() + Duration::from_secs(15);
@@ -231,6 +242,7 @@
         let at = |worker: &str| stage.workers.iter().position(|w| w.address.to_string() == worker).unwrap();
         let crashed = at(&of_again);
         stage.faults(1 - crashed, Faults::default());
+        stage.answers(1 - crashed);
         stage.workers[crashed].tell(Command::Crash);
         if of_once != of_again {
             stage.workers[at(&of_once)].tell(Command::Crash);
