--- a/crates/quartzdrift-desk/tests/hard_cases.rs
+++ b/crates/quartzdrift-desk/tests/hard_cases.rs
@@ -25,6 +25,22 @@
     }
 }
 
+fn new_job(workload: u32) -> NewJob<u32> {
+    NewJob {
+        workload,
+        customer: 0,
+        function: Rc::from("f"),
+        left: LIMIT,
+        work_hint: None,
+        memory_mb: None,
+        lanes: None,
+        load_hint: None,
+        is_retry: false,
+        writes: false,
+        payload: 7,
+    }
+}
+
 struct Stage {
     desk: Desk<u32>,
     now: Duration,
@@ -79,20 +95,7 @@
     }
 
     fn job(&mut self, workload: u32) -> JobId {
-        let new = NewJob {
-            workload,
-            customer: 0,
-            function: Rc::from("f"),
-            left: LIMIT,
-            work_hint: None,
-            memory_mb: None,
-            lanes: None,
-            load_hint: None,
-            is_retry: false,
-            writes: false,
-            payload: 7,
-        };
-        let job = self.desk.job(self.now, new).unwrap();
+        let job = self.desk.job(self.now, new_job(workload)).unwrap();
         self.look();
         job
     }
@@ -227,20 +230,7 @@
     let mut stage = Stage::of(&settings, &["a"]);
     stage.job(0);
     stage.job(0);
-    let new = NewJob {
-        workload: 0,
-        customer: 0,
-        function: Rc::from("f"),
-        left: LIMIT,
-        work_hint: None,
-        memory_mb: None,
-        lanes: None,
-        load_hint: None,
-        is_retry: false,
-        writes: false,
-        payload: 9,
-    };
-    assert_eq!(stage.desk.job(stage.now, new), Err(9));
+    assert_eq!(stage.desk.job(stage.now, new_job(0)), Err(7));
 }
 
 /// One step of a random day.
--- a/crates/quartzdrift-forecast/src/forecasts.rs
+++ b/crates/quartzdrift-forecast/src/forecasts.rs
@@ -13,6 +13,8 @@
 const SEASON_USES: u32 = 12;
 /// Share of the functions kept that may be new ones, met once: a scan of functions used once drives out only others.
 const NEW_SHARE: f64 = 0.25;
+/// Of the keep-alive: a gap in which no copy is unloaded, nor looked at.
+const SHORT: f64 = 0.5;
 /// Times a function is looked at between two uses: the chance of a use long awaited fades anyway.
 const LOOKS_MOST: u32 = 64;
 
@@ -144,7 +146,7 @@
         if track.history.uses == SEASON_USES {
             track.history.seasons = self.settings.seasons.iter().map(|period| Season::new(*period)).collect();
         }
-        track.history.used(now);
+        track.history.used(now, self.settings.keep.mul_f64(SHORT));
         (track.look, track.looks) = (None, 0);
         self.list(function);
         self.plan(now, function);
@@ -157,6 +159,13 @@
         }
     }
 
+    /// What a load of the function is told to take, until one was measured.
+    pub fn load_told(&mut self, function: &str, load: Duration) {
+        if let Some(track) = self.tracks.get_mut(function).filter(|track| track.load_us == 0) {
+            track.load_us = load.as_micros() as u64;
+        }
+    }
+
     /// What was said of the function came to nothing: it is not forecast until then.
     pub fn quiet(&mut self, function: &str, until: Duration) {
         if let Some(track) = self.tracks.get_mut(function) {
@@ -174,10 +183,9 @@
         if a >= 1.0 - 1e-9 { 0.0 } else { ((b - a) / (1.0 - a)).clamp(0.0, 1.0) }
     }
 
-    fn lead(&self, track: &Track) -> f64 {
-        let load =
-            if track.load_us > 0 { track.load_us as f64 / 1e6 } else { self.settings.load.as_secs_f64() };
-        load * LEAD
+    /// What a load of the function takes, in seconds.
+    fn load(settings: &Settings, track: &Track) -> f64 {
+        if track.load_us > 0 { track.load_us as f64 / 1e6 } else { settings.load.as_secs_f64() }
     }
 
     /// Sets the next moment at which something is worth saying of a function.
@@ -187,20 +195,22 @@
         if track.looks >= LOOKS_MOST {
             return;
         }
-        let (keep, lead) = (self.settings.keep.as_secs_f64(), self.lead(track));
+        let (keep, load) = (self.settings.keep.as_secs_f64(), Self::load(&self.settings, track));
+        let lead = load * LEAD;
         let since = now.as_secs_f64() - track.history.last;
         let renew = keep * LOOK_AGAIN;
         let period = self.settings.seasons.iter().map(Duration::as_secs_f64).fold(keep * 4.0, f64::max);
-        let mut moments = vec![renew.max(since)];
+        // What was looked at just now is not looked at again before there is news.
+        let least = if track.looks > 0 { since + renew.min(keep) * 0.99 } else { since };
+        let mut moments = vec![renew.max(least)];
         // Before each moment at which a use may come: time enough to load.
         moments.extend(
             track.history.moments(period).into_iter().map(|at| at - lead).filter(|at| *at > since + 0.01),
         );
         moments.sort_by(f64::total_cmp);
-        let worth =
-            |at: &f64| *at >= renew && Self::chance(&track.history, best, *at, *at + keep) >= SAY_LEAST;
-        // What was looked at just now is not looked at again before there is news.
-        let least = if track.looks > 0 { since + renew.min(keep) * 0.99 } else { since };
+        let worth = |at: &f64| {
+            *at >= renew && Self::chance(&track.history, best, *at, *at + load + keep) >= SAY_LEAST
+        };
         let at = moments.into_iter().filter(|at| *at >= least).find(worth);
         let Some(at) = at else { return };
         let at = Duration::try_from_secs_f64(track.history.last + at).unwrap_or(now).max(now);
@@ -224,10 +234,11 @@
             let (history, quiet) = (&track.history, track.quiet_until > now);
             if let (Some((by, _)), false) = (history.best(), quiet) {
                 let since = now.as_secs_f64() - history.last;
-                let keep = self.settings.keep;
-                let sure = Self::chance(history, by, since, since + keep.as_secs_f64());
+                // A copy that is ordered now stands from the end of its load for the keep-alive.
+                let within = self.settings.keep + Duration::from_secs_f64(Self::load(&self.settings, track));
+                let sure = Self::chance(history, by, since, since + within.as_secs_f64());
                 if sure >= SAY_LEAST {
-                    let (within, jobs_per_second) = (keep, history.rate(by, now));
+                    let jobs_per_second = history.rate(by, now);
                     all.push(Expected { function: function.clone(), within, sure, jobs_per_second, by });
                 }
             }
--- a/crates/quartzdrift-forecast/src/ledger.rs
+++ b/crates/quartzdrift-forecast/src/ledger.rs
@@ -148,6 +148,10 @@
         Some(until)
     }
 
+    pub fn next_due(&self) -> Option<Duration> {
+        self.open.values().map(|open| open.until).min()
+    }
+
     /// Closes the lines of loads that nobody used in time; functions to be left alone, and until when.
     pub fn due(&mut self, now: Duration) -> Vec<(String, Duration)> {
         let over: Vec<String> = self
--- a/crates/quartzdrift-forecast/src/lib.rs
+++ b/crates/quartzdrift-forecast/src/lib.rs
@@ -7,11 +7,13 @@
 //! A function's next use is a distribution of the gap to it. Several [`predictors`](predict) give one each, and each is
 //! scored at every gap that comes by the ranked probability score, which is proper: no predictor gains by telling
 //! anything but what it believes. The one that has done best of late speaks for the function.
+mod ahead;
 mod forecasts;
 pub mod ledger;
 pub mod predict;
 mod snapshot;
 
+pub use ahead::Ahead;
 pub use forecasts::{Expected, Forecasts, Settings};
 pub use ledger::Ledger;
 pub use snapshot::Unreadable;
--- a/crates/quartzdrift-forecast/src/predict.rs
+++ b/crates/quartzdrift-forecast/src/predict.rs
@@ -162,11 +162,14 @@
         }
     }
 
-    /// Takes a use, scores what each predictor had said of its gap, and learns it.
-    pub fn used(&mut self, at: Duration) {
+    /// Takes a use, scores what each predictor had said of its gap, and learns it. Of a gap under `short`, in which
+    /// a copy stands anyway, only the rate is learnt: it is no matter of forecasts, and most gaps are such.
+    pub fn used(&mut self, at: Duration, short: Duration) {
         let now = at.as_secs_f64();
-        if self.uses > 0 && now > self.last {
-            let gap = now - self.last;
+        let gap = now - self.last;
+        if self.uses > 0 && gap > 0.0 && gap < short.as_secs_f64() {
+            self.quick += (gap as f32 - self.quick) * QUICK as f32;
+        } else if self.uses > 0 && gap > 0.0 {
             // Before that no predictor knows enough to be judged by.
             let judged = self.gaps.len() >= LEARNING;
             for (n, of) in Predictor::ALL.into_iter().enumerate().filter(|_| judged) {
@@ -181,7 +184,7 @@
                 self.gaps[self.next] = gap as f32;
             }
             self.next = (self.next + 1) % GAPS;
-            let first = self.uses == 1;
+            let first = self.steady == 0.0;
             let learn = |mean: &mut f32, weight: f64| {
                 *mean += (gap as f32 - *mean) * if first { 1.0 } else { weight as f32 };
             };
@@ -243,10 +246,10 @@
     fn history(gaps: impl Iterator<Item = f64>) -> History {
         let mut history = History::default();
         let mut at = 1_000_000.0;
-        history.used(Duration::from_secs_f64(at));
+        history.used(Duration::from_secs_f64(at), Duration::ZERO);
         for gap in gaps {
             at += gap;
-            history.used(Duration::from_secs_f64(at));
+            history.used(Duration::from_secs_f64(at), Duration::ZERO);
         }
         history
     }
@@ -281,8 +284,10 @@
         let mut history = History { seasons: vec![Season::new(day)], ..History::default() };
         for round in 0..6u32 {
             for n in 0..40u32 {
-                history
-                    .used(day * (1000 + round) + Duration::from_secs(100) + Duration::from_millis(500) * n);
+                history.used(
+                    day * (1000 + round) + Duration::from_secs(100) + Duration::from_millis(500) * n,
+                    Duration::ZERO,
+                );
             }
         }
         // From the end of the sixth rush: little before the seventh, much at it.
--- a/crates/quartzdrift-lab/src/audit.rs
+++ b/crates/quartzdrift-lab/src/audit.rs
@@ -123,7 +123,7 @@
                     began: false,
                 });
             }
-            Seen::Began { worker, life, call } => {
+            Seen::Began { worker, life, call, .. } => {
                 if let Some(&of) = open.get(&(worker.as_str(), *life, *call)) {
                     day.executions[of].began = true;
                 }
@@ -148,7 +148,8 @@
             | Seen::ToldAway { .. }
             | Seen::ToldUp { .. }
             | Seen::Started { .. }
-            | Seen::Fell { .. } => {}
+            | Seen::Fell { .. }
+            | Seen::Fetch { .. } => {}
         }
     }
     day
@@ -377,7 +378,7 @@
     }
 
     fn began(worker: &str, call: u64) -> Seen {
-        Seen::Began { worker: worker.to_owned(), life: 1, call }
+        Seen::Began { worker: worker.to_owned(), life: 1, call, warm: true }
     }
 
     /// A day on which all is kept.
--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -7,6 +7,7 @@
 use crate::roster::{self, Roster};
 use crate::script::{Script, Trouble};
 use crate::store::{self, Store};
+use crate::traffic;
 use crate::worker::{self, Faults, WorkerStandIn};
 use quartzdrift_choice::interface::{Effect, State};
 use quartzdrift_roster::list::Listed;
@@ -33,8 +34,10 @@
     pub terms: Terms,
     pub broken: Vec<Broken>,
     pub tally: Tally,
-    /// Executions that reached workers, and of these those that were refused there.
+    /// Executions that reached workers, those that ran without finding their copy loaded, and fetches.
     pub executions: usize,
+    pub waited_for_load: usize,
+    pub fetches: usize,
 }
 
 /// How the gateways of a day are started.
@@ -110,13 +113,17 @@
     let _ = write!(
         text,
         "[copies]\ntells_warm = true\ntells_crowd = true\nkeep = {}\nmemory_mb_by_kind = [{:.1}]\n\
-         [reports]\nsource = \"answers\"\nfields = [{{ field = \"held\", metric = \"named_metrics.inflight\" }}, \
+         orders = {}\n[reports]\nsource = \"answers\"\nfields = [{{ field = \"held\", metric = \"named_metrics.inflight\" }}, \
          {{ field = \"loads\", metric = \"named_metrics.loads\" }}]\n\
          [deferred]\ntries = 3\nwait = \"200ms\"\nlongest_wait = \"2s\"\ngreatest_age = \"60s\"\n\
          on_failure = {{ function = \"dead\" }}\n",
         ms(script.keep),
         script.memory_mb,
+        script.forecasts,
     );
+    if script.forecasts {
+        text.push_str("[forecasts]\nseasons = [\"60s\", \"120s\"]\n");
+    }
     let first = script.workloads.first().map_or("", |workload| workload.name.as_str());
     for workload in &script.workloads {
         let effect = match workload.effect {
@@ -143,7 +150,32 @@
     text
 }
 
-fn specs(script: &Script) -> BTreeMap<String, Spec> {
+/// The kind of worker that a script tells of.
+pub fn machine(script: &Script) -> Machine {
+    Machine {
+        cores: script.cores,
+        memory_mb: script.memory_mb,
+        queue_most: script.queue,
+        keep: script.keep,
+        cold_from: script.cold_from,
+        cold_for: script.cold_for,
+        fall_multiple: script.fall_multiple,
+        fall_window: script.fall_window,
+        ..Machine::default()
+    }
+}
+
+/// Its store.
+pub fn store_config(script: &Script) -> store::Config {
+    store::Config {
+        capacity: script.store_capacity,
+        limit: script.store_limit,
+        stops_at: script.store_stops_at,
+        stops_for: Duration::from_secs(2),
+    }
+}
+
+pub fn specs(script: &Script) -> BTreeMap<String, Spec> {
     let mut specs = BTreeMap::new();
     for workload in &script.workloads {
         for n in 0..workload.functions {
@@ -291,29 +323,14 @@
 pub fn play(script: &Script, program: &Program, seed: u64) -> io::Result<Day> {
     let folder = tempfile::tempdir()?;
     let recorder = Recorder::default();
-    let store_config = store::Config {
-        capacity: script.store_capacity,
-        limit: script.store_limit,
-        stops_at: script.store_stops_at,
-        stops_for: Duration::from_secs(2),
-    };
+    let store_config = store_config(script);
     let store = actor::spawn(any(), move |handle, _| Store::new(handle, store_config))?;
     let marks: worker::Marks = Arc::default();
     let window = script.workloads.iter().map(|w| w.window).max().unwrap_or_default();
     let mut workers = Vec::new();
     for n in 0..script.workers {
         let config = worker::Config {
-            machine: Machine {
-                cores: script.cores,
-                memory_mb: script.memory_mb,
-                queue_most: script.queue,
-                keep: script.keep,
-                cold_from: script.cold_from,
-                cold_for: script.cold_for,
-                fall_multiple: script.fall_multiple,
-                fall_window: script.fall_window,
-                ..Machine::default()
-            },
+            machine: machine(script),
             specs: specs(script),
             store: Some(store.address),
             marks: Some(marks.clone()),
@@ -348,11 +365,12 @@
         stage.start_gateway(n)?;
     }
     let (open, tally) = (Arc::new(AtomicU64::new(0)), Arc::new(Mutex::new(Tally::default())));
-    let (of, workloads) = (recorder.clone(), script.workloads.clone());
+    let of = recorder.clone();
     let (open_too, tally_too) = (open.clone(), tally.clone());
-    let clients = actor::spawn(any(), move |handle, _| {
-        Clients::new(handle, of, addresses, workloads, seed, open_too, tally_too)
-    })?;
+    let arrivals = traffic::arrivals(script, seed);
+    let plan = clients::Plan { workloads: script.workloads.clone(), arrivals, seed };
+    let clients =
+        actor::spawn(any(), move |handle, _| Clients::new(handle, of, addresses, plan, open_too, tally_too))?;
     let start = Instant::now();
     for (at, trouble) in &script.troubles {
         std::thread::sleep(at.saturating_sub(start.elapsed()));
@@ -370,9 +388,12 @@
     let lines = recorder.lines();
     let terms = terms(script);
     let broken = audit::audit(&lines, &terms);
-    let executions = lines.iter().filter(|line| matches!(line.seen, Seen::Came { .. })).count();
+    let count = |of: fn(&Seen) -> bool| lines.iter().filter(|line| of(&line.seen)).count();
+    let executions = count(|seen| matches!(seen, Seen::Came { .. }));
+    let waited_for_load = count(|seen| matches!(seen, Seen::Began { warm: false, .. }));
+    let fetches = count(|seen| matches!(seen, Seen::Fetch { .. }));
     let tally = tally.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    Ok(Day { lines, terms, broken, tally, executions })
+    Ok(Day { lines, terms, broken, tally, executions, waited_for_load, fetches })
 }
 
 /// Writes a day's terms and record, one JSON object a line.
--- a/crates/quartzdrift-lab/src/clients.rs
+++ b/crates/quartzdrift-lab/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::actor::StandIn;
 use crate::record::{Recorder, Seen};
 use crate::script::Workload;
+use crate::traffic::{self, Arrival};
 use calloop::LoopHandle;
 use quartzdrift_choice::interface::Effect;
 use quartzdrift_http::{CallId, Failure, HasHttp, Headers, Http, HttpEvent, Limits, Outgoing, Response};
@@ -25,6 +26,14 @@
     Enough,
 }
 
+/// What clients ask for.
+pub struct Plan {
+    pub workloads: Vec<Workload>,
+    pub arrivals: Vec<Arrival>,
+    /// Draws who hangs up and how long is waited.
+    pub seed: u64,
+}
+
 /// What came of all calls, for the last word.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -48,6 +57,7 @@
     call: u64,
     /// When its first try left.
     first: Duration,
+    work_us: u64,
 }
 
 pub struct Clients {
@@ -55,7 +65,9 @@
     recorder: Recorder,
     gateways: Vec<SocketAddr>,
     workloads: Vec<Workload>,
-    next: Vec<Option<Duration>>,
+    arrivals: Vec<Arrival>,
+    next: usize,
+    start: Duration,
     out: HashMap<CallId, Try>,
     later: Vec<(Duration, Try)>,
     chance: StdRng,
@@ -75,15 +87,16 @@
         handle: LoopHandle<'static, Clients>,
         recorder: Recorder,
         gateways: Vec<SocketAddr>,
-        workloads: Vec<Workload>,
-        seed: u64,
+        plan: Plan,
         open: Arc<AtomicU64>,
         tally: Arc<Mutex<Tally>>,
     ) -> Clients {
-        let now = recorder.now();
+        let Plan { workloads, arrivals, seed } = plan;
         Clients {
             http: Http::new(handle, Limits { keepalive: Duration::from_secs(5), ..Limits::default() }),
-            next: workloads.iter().map(|_| Some(now)).collect(),
+            next: 0,
+            start: recorder.now(),
+            arrivals,
             recorder,
             gateways,
             workloads,
@@ -100,25 +113,25 @@
         of(&mut self.tally.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
-    fn arrive(&mut self, workload: usize, now: Duration) {
+    fn arrive(&mut self, arrival: &Arrival, now: Duration) {
+        let &Arrival { workload, work_us, .. } = arrival;
         let of = &self.workloads[workload];
-        // Time between arrivals of independent clients.
-        let gap = -(1.0 - self.chance.random_range(0.0..1.0f64)).ln() / of.rate;
-        self.next[workload] = Some(now + Duration::from_secs_f64(gap));
-        // Some functions are more popular than others: the smaller of two draws.
-        let (a, b) = (self.chance.random_range(0..of.functions), self.chance.random_range(0..of.functions));
-        let function = format!("{}-{}", of.name, a.min(b));
+        let function = arrival.function.clone();
         let hangs_up = self.chance.random_range(0.0..1.0) < of.hang_up;
         self.drawn += 1;
         let key = format!("{}-{}", of.name, self.drawn);
-        let gateway = self.chance.random_range(0..self.gateways.len());
+        let gateways = self.gateways.len();
+        let gateway = ((arrival.gateway * gateways as f64) as usize).min(gateways - 1);
         let (repeats, until, call, first) = (0, Duration::ZERO, 0, now);
-        self.send(Try { key, workload, function, repeats, gateway, until, hangs_up, call, first }, now);
+        self.send(
+            Try { key, workload, function, repeats, gateway, until, hangs_up, call, first, work_us },
+            now,
+        );
     }
 
     fn send(&mut self, mut of: Try, now: Duration) {
         let workload = &self.workloads[of.workload];
-        let work_ms = workload.work.as_secs_f64() * 1000.0 * self.chance.random_range(0.5..1.5);
+        let work_ms = of.work_us as f64 / 1000.0;
         let payload = format!("{{\"key\":\"{}\",\"work_ms\":{work_ms:.3}}}", of.key);
         let mut headers = Headers::new().with("content-type", "application/json");
         if workload.deferred {
@@ -218,23 +231,24 @@
 
     fn command(&mut self, command: Command) {
         match command {
-            Command::Enough => self.next.iter_mut().for_each(|next| *next = None),
+            Command::Enough => self.next = self.arrivals.len(),
         }
     }
 
     fn next_due(&self) -> Option<Duration> {
-        let arrivals = self.next.iter().flatten().copied();
+        let arrivals =
+            self.arrivals.get(self.next).map(|arrival| self.start + traffic::at(arrival)).into_iter();
         let later = self.later.iter().map(|(at, _)| *at);
         let until = self.out.values().map(|of| of.until);
         arrivals.chain(later).chain(until).min()
     }
 
     fn due(&mut self, now: Duration) {
-        for workload in 0..self.workloads.len() {
-            while self.next[workload].is_some_and(|at| at <= now) {
-                let at = self.next[workload].unwrap_or(now);
-                self.arrive(workload, at.max(now.saturating_sub(Duration::from_millis(100))));
-            }
+        while let Some(arrival) = self.arrivals.get(self.next).filter(|a| self.start + traffic::at(a) <= now)
+        {
+            let arrival = arrival.clone();
+            self.next += 1;
+            self.arrive(&arrival, now);
         }
         let (due, left): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.later).into_iter().partition(|l| l.0 <= now);
--- a/crates/quartzdrift-lab/src/lib.rs
+++ b/crates/quartzdrift-lab/src/lib.rs
@@ -4,6 +4,8 @@
 //! * [`store`], [`roster`]: stand-ins for the store that functions are fetched from and for the list of workers.
 //! * [`clients`], [`load`]: clients of a day, and open-loop load with a report.
 //! * [`script`], [`badday`], [`record`], [`audit`]: days of troubles, what passed on the sockets, and the verdict.
+//! * [`emulate`]: a fleet in simulated time, with the real desk, module and forecasts; [`traffic`] of days, and
+//!   [`experiment`], which compares variants over days and seeds.
 //! * [`measure`], with [`light`] workers: what a gateway costs.
 //! * [`actor`]: the event loop that stand-ins run on.
 //! * [`naive`]: a gateway that breaks the rules, to prove that the auditor sees it.
@@ -11,6 +13,8 @@
 pub mod audit;
 pub mod badday;
 pub mod clients;
+pub mod emulate;
+pub mod experiment;
 pub mod functions;
 pub mod light;
 pub mod load;
@@ -21,4 +25,5 @@
 pub mod roster;
 pub mod script;
 pub mod store;
+pub mod traffic;
 pub mod worker;
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -1,5 +1,7 @@
 //! The lab's command line.
-use quartzdrift_lab::{actor, audit, badday, load, measure, naive, roster, script, store, worker};
+use quartzdrift_lab::{
+    actor, audit, badday, emulate, experiment, load, measure, naive, roster, script, store, traffic, worker,
+};
 
 use clap::{Parser, Subcommand};
 use quartzdrift::{logs, serve, settings};
@@ -103,6 +105,28 @@
         #[arg(long, default_value_t = 1_000_000.0)]
         jobs: f64,
     },
+    /// Play a script in simulated time and print what it came to
+    Emulate {
+        script: Option<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Load ahead of need by forecasts
+        #[arg(long)]
+        forecasts: bool,
+        /// Use this trace in place of the script's own traffic
+        #[arg(long)]
+        trace: Option<PathBuf>,
+        /// Write the traffic as a trace (`.gz` compresses)
+        #[arg(long)]
+        write_trace: Option<PathBuf>,
+    },
+    /// Compare variants over days and seeds by a TOML file; see experiments/forecasts.toml
+    Experiment {
+        file: PathBuf,
+        /// Folder for table, rows and plots
+        #[arg(long, default_value = "target/experiment")]
+        out: PathBuf,
+    },
     /// Judge a record that was kept
     Audit { record: PathBuf },
     /// Run a stand-in roster that lists these workers
@@ -162,6 +186,17 @@
             let plan = load::Plan { to, mix, rate, length, payload, deferred, out_most, timeout, even, seed };
             load::run(plan).map(|report| println!("{report}"))
         }
+        Command::Emulate { script, seed, forecasts, trace, write_trace } => {
+            emulated(script.as_deref(), seed, forecasts, trace.as_deref(), write_trace.as_deref())
+        }
+        Command::Experiment { file, out } => std::fs::read_to_string(&file).and_then(|text| {
+            let (experiment, scripts) = experiment::read(&text).map_err(std::io::Error::other)?;
+            let rows = experiment::play(&experiment, &scripts, true);
+            println!("{}", experiment::table(&experiment, &rows));
+            experiment::save(&experiment, &rows, &out)?;
+            println!("rows and plots: {}", out.display());
+            Ok(())
+        }),
         Command::Measure { what, jobs } => std::env::current_exe()
             .and_then(|lab| measure::run(&lab, &what, jobs, &mut std::io::stdout().lock())),
         Command::Audit { record } => {
@@ -271,7 +306,7 @@
         let tally = &day.tally;
         println!(
             "seed {seed}: {} calls, {} finished, {} taken, {} pushed back, {} killed, {} other answers, \
-             {} without an answer; {} executions",
+             {} without an answer; {} executions, {} waited for a load, {} fetches",
             tally.asked,
             tally.finished,
             tally.taken,
@@ -279,7 +314,9 @@
             tally.killed,
             tally.other,
             tally.no_answer,
-            day.executions
+            day.executions,
+            day.waited_for_load,
+            day.fetches
         );
         if let Some(path) = record
             && let Err(e) = badday::save(&day, path)
@@ -294,6 +331,37 @@
     code
 }
 
+fn emulated(
+    script: Option<&std::path::Path>,
+    seed: u64,
+    forecasts: bool,
+    trace: Option<&std::path::Path>,
+    write: Option<&std::path::Path>,
+) -> std::io::Result<()> {
+    let text = script.map_or_else(|| Ok(BAD_DAY.to_owned()), std::fs::read_to_string)?;
+    let script = script::read(&text).map_err(std::io::Error::other)?;
+    let arrivals = match trace {
+        Some(path) => traffic::read(path)?,
+        None => traffic::arrivals(&script, seed),
+    };
+    if let Some(arrival) = arrivals.iter().find(|arrival| arrival.workload >= script.workloads.len()) {
+        return Err(std::io::Error::other(format!(
+            "the trace has a workload {} that the script lacks",
+            arrival.workload
+        )));
+    }
+    if let Some(path) = write {
+        traffic::write(path, &arrivals)?;
+    }
+    let forecasting = if forecasts { emulate::Forecasting::On } else { emulate::Forecasting::Off };
+    let start = std::time::Instant::now();
+    let figures =
+        emulate::run(&script, &arrivals, &emulate::Variant { forecasting, ..Default::default() }, seed);
+    println!("{}", serde_json::to_string_pretty(&figures)?);
+    eprintln!("{:.1?} of simulated time in {:.1?}", script.length, start.elapsed());
+    Ok(())
+}
+
 /// The settings of the demo; its workers are put in.
 const DEMO: &str = include_str!("demo.toml");
 
--- a/crates/quartzdrift-lab/src/measure.rs
+++ b/crates/quartzdrift-lab/src/measure.rs
@@ -67,13 +67,17 @@
 
     /// Resident memory in MB.
     fn memory(&self) -> io::Result<f64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kb = line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse::<f64>().ok());
-        Ok(kb.unwrap_or(0.0) / 1024.0)
+        memory_of(&self.child.id().to_string())
     }
 }
 
+fn memory_of(process: &str) -> io::Result<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse::<f64>().ok());
+    Ok(kb.unwrap_or(0.0) / 1024.0)
+}
+
 fn plan(to: SocketAddr, rate: f64, seconds: f64, out_most: usize) -> Plan {
     Plan {
         to: vec![to],
@@ -237,22 +241,51 @@
     Ok(())
 }
 
+/// Cost of forecasting for each job, and memory for many functions.
+fn forecasts(out: &mut impl Write) -> io::Result<()> {
+    writeln!(out, "forecasting: microseconds for a job, memory of this process")?;
+    for functions in [100u64, 10_000, 100_000] {
+        let before = memory_of("self")?;
+        let mut ahead = quartzdrift_forecast::Ahead::new(quartzdrift_forecast::Settings::default());
+        let (mut now, jobs) = (Duration::from_secs(1_000_000), 400_000u64.max(functions * 4));
+        let (start, mut said) = (Instant::now(), 0);
+        for n in 0..jobs {
+            now += Duration::from_micros(1300);
+            // Each function in turn, a little out of step: every gap is near the same, as with timers.
+            let function = format!("f{}", (n * 7919 + n / functions) % functions);
+            ahead.used(now, &function, None);
+            if ahead.next_due().is_some_and(|at| at <= now) {
+                said += ahead.due(now).len();
+            }
+        }
+        let us = start.elapsed().as_secs_f64() * 1e6 / jobs as f64;
+        let memory = memory_of("self")? - before;
+        writeln!(
+            out,
+            "{functions:>8} functions {us:>8.2} us {memory:>8.1} MB ({said} expectations, {jobs} jobs)"
+        )?;
+    }
+    Ok(())
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum What {
     Busiest,
     Added,
     Memory,
     Replaced,
+    Forecasts,
 }
 
 pub fn run(lab: &Path, what: &[What], jobs: f64, out: &mut impl Write) -> io::Result<()> {
-    let all = [What::Replaced, What::Busiest, What::Added, What::Memory];
+    let all = [What::Forecasts, What::Replaced, What::Busiest, What::Added, What::Memory];
     for one in if what.is_empty() { &all[..] } else { what } {
         match one {
             What::Busiest => busiest(lab, out)?,
             What::Added => added(lab, 10.0, out)?,
             What::Memory => memory(lab, jobs, out)?,
             What::Replaced => replaced(out)?,
+            What::Forecasts => forecasts(out)?,
         }
         writeln!(out)?;
     }
--- a/crates/quartzdrift-lab/src/model.rs
+++ b/crates/quartzdrift-lab/src/model.rs
@@ -198,6 +198,12 @@
         }
     }
 
+    /// Memory of copies that stand and run nothing, in MB.
+    pub fn idle_mb(&self) -> f64 {
+        let idle = |c: &&Copy| c.used == 0 && matches!(c.stage, Stage::Ready { .. });
+        self.copies.iter().filter(idle).map(|c| self.spec(&c.function).memory_mb).sum()
+    }
+
     pub fn copies(&self, function: &str) -> usize {
         let ready = |c: &&Copy| c.function == function && matches!(c.stage, Stage::Ready { .. });
         self.copies.iter().filter(ready).count()
--- a/crates/quartzdrift-lab/src/record.rs
+++ b/crates/quartzdrift-lab/src/record.rs
@@ -43,11 +43,16 @@
         key: String,
         work_us: u64,
     },
-    /// Its work began to have effect, and ended.
+    /// Its work had its effect; `warm`: it found its copy loaded.
     Began {
         worker: String,
         life: u64,
         call: u64,
+        warm: bool,
+    },
+    /// A worker asked the store for a function.
+    Fetch {
+        worker: String,
     },
     /// Nothing more is under way between gateway and worker: answered or closed.
     Over {
--- a/crates/quartzdrift-lab/src/script.rs
+++ b/crates/quartzdrift-lab/src/script.rs
@@ -6,7 +6,10 @@
 //! store capacity=8 limit=24 stops-at=0
 //! roster lag=300ms
 //! workload quote restartable rate=90 work=8ms limit=3s functions=12 memory=150 load=300ms lanes=2
-//! workload stamp fingerprinted window=5s rate=40 ...     also run-once; `deferred`; `hang-up=0.01`
+//! workload stamp fingerprinted window=5s rate=40 ...     also run-once; `deferred`; `hang-up=0.01`,
+//!                                        `target=1s`; `pattern=daily period=30s most=4` (or steady, bursty,
+//!                                        turning, timers with jitter=, scan, terms-end)
+//! forecasts                             load ahead of need
 //! length 30s
 //! at 4s crash worker 2          also start, silent, hang, well, drain, and with a figure:
 //! at 4s errors worker 2 0.8     share; also lose; `slow worker 2 500ms`, `late worker 2 2s`
@@ -32,6 +35,39 @@
     pub lanes: usize,
     pub deferred: bool,
     pub hang_up: f64,
+    pub start_target: Duration,
+    pub pattern: Pattern,
+}
+
+/// How calls come over time, spans in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Pattern {
+    Steady,
+    /// From 1 to `most` times the rate and back in each period.
+    Daily {
+        period: f64,
+        most: f64,
+    },
+    /// `most` times the rate for a fifth of the time, half of it otherwise.
+    Bursty {
+        every: f64,
+        most: f64,
+    },
+    /// A few functions draw most calls, and others take their place.
+    Turning {
+        every: f64,
+    },
+    /// Each function by a timer of its own, of about this period.
+    Timers {
+        period: f64,
+        jitter: f64,
+    },
+    /// Each function once.
+    Scan,
+    /// A swing of several times, late in the day.
+    TermsEnd {
+        most: f64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +110,8 @@
     pub workloads: Vec<Workload>,
     pub length: Duration,
     pub troubles: Vec<(Duration, Trouble)>,
+    /// Load ahead of need by forecasts, on sockets; the emulator is told by its variants.
+    pub forecasts: bool,
 }
 
 struct Words<'a>(Vec<&'a str>);
@@ -125,6 +163,7 @@
         workloads: Vec::new(),
         length: Duration::from_secs(10),
         troubles: Vec::new(),
+        forecasts: false,
     };
     for (n, line) in text.lines().enumerate() {
         let words = Words(line.split('#').next().unwrap_or("").split_whitespace().collect());
@@ -198,6 +237,7 @@
                 words.known(&["lag"])?;
                 self.lag = words.span("lag", self.lag)?;
             }
+            "forecasts" => self.forecasts = true,
             "workload" => self.workloads.push(workload(words)?),
             "length" => self.length = span(words.at(1)?)?,
             "at" => {
@@ -255,8 +295,38 @@
     text.parse().map_err(|_| format!("'{text}' is no number"))
 }
 
+fn pattern(words: &Words) -> Result<Pattern, String> {
+    let period = words.span("period", Duration::from_secs(30))?.as_secs_f64();
+    let most = words.number("most", 4.0)?;
+    Ok(match words.value("pattern").unwrap_or("steady") {
+        "steady" => Pattern::Steady,
+        "daily" => Pattern::Daily { period, most },
+        "bursty" => Pattern::Bursty { every: period, most },
+        "turning" => Pattern::Turning { every: period },
+        "timers" => Pattern::Timers { period, jitter: words.span("jitter", Duration::ZERO)?.as_secs_f64() },
+        "scan" => Pattern::Scan,
+        "terms-end" => Pattern::TermsEnd { most },
+        other => return Err(format!("'{other}' is no pattern")),
+    })
+}
+
 fn workload(words: &Words) -> Result<Workload, String> {
-    words.known(&["window", "rate", "work", "limit", "functions", "memory", "load", "lanes", "hang-up"])?;
+    words.known(&[
+        "window",
+        "rate",
+        "work",
+        "limit",
+        "functions",
+        "memory",
+        "load",
+        "lanes",
+        "hang-up",
+        "target",
+        "pattern",
+        "period",
+        "most",
+        "jitter",
+    ])?;
     let ms = Duration::from_millis;
     Ok(Workload {
         name: words.at(1)?.to_owned(),
@@ -276,6 +346,8 @@
         lanes: words.number("lanes", 4)?,
         deferred: words.0.contains(&"deferred"),
         hang_up: words.number("hang-up", 0.0)?,
+        start_target: words.span("target", words.span("limit", ms(3000))?)?,
+        pattern: pattern(words)?,
     })
 }
 
--- a/crates/quartzdrift-lab/src/store.rs
+++ b/crates/quartzdrift-lab/src/store.rs
@@ -1,9 +1,9 @@
 //! A stand-in for the store that workers fetch functions from: it slows down when crowded, turns fetches away past
-//! a limit, and stops for a while when pushed far over its capacity.
+//! a limit, and stops for a while when pushed far over its capacity. [`Model`] is without sockets.
 use crate::actor::StandIn;
 use calloop::LoopHandle;
 use quartzdrift_http::{Exchange, HasHttp, Http, HttpEvent, Limits, Response};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -25,6 +25,85 @@
     }
 }
 
+/// What the store does, with the time told.
+#[derive(Debug)]
+pub struct Model {
+    config: Config,
+    /// Seconds of undisturbed fetching left, by fetch.
+    fetches: Vec<(u64, f64)>,
+    at: Duration,
+    pub slow: f64,
+    pub refuses: bool,
+    turned_away: VecDeque<Duration>,
+    stopped_until: Duration,
+    pub served: u64,
+}
+
+impl Model {
+    pub fn new(config: Config) -> Model {
+        Model {
+            config,
+            fetches: Vec::new(),
+            at: Duration::ZERO,
+            slow: 1.0,
+            refuses: false,
+            turned_away: VecDeque::new(),
+            stopped_until: Duration::ZERO,
+            served: 0,
+        }
+    }
+
+    fn speed(&self) -> f64 {
+        let crowd = (self.fetches.len() as f64 / self.config.capacity).max(1.0);
+        1.0 / (crowd * self.slow.max(0.001))
+    }
+
+    pub fn advance(&mut self, now: Duration) {
+        let spent = now.saturating_sub(self.at).as_secs_f64() * self.speed();
+        self.at = self.at.max(now);
+        self.fetches.iter_mut().for_each(|fetch| fetch.1 -= spent);
+    }
+
+    /// `false`: turned away.
+    pub fn begin(&mut self, now: Duration, fetch: u64, takes: Duration) -> bool {
+        self.advance(now);
+        if now < self.stopped_until {
+            return false;
+        }
+        if self.refuses || self.fetches.len() >= self.config.limit {
+            self.turned_away.push_back(now);
+            self.turned_away.retain(|at| *at + SECOND > now);
+            if self.config.stops_at > 0 && self.turned_away.len() >= self.config.stops_at {
+                self.stopped_until = now + self.config.stops_for;
+                self.turned_away.clear();
+            }
+            return false;
+        }
+        self.fetches.push((fetch, takes.as_secs_f64()));
+        true
+    }
+
+    pub fn drop_fetch(&mut self, now: Duration, fetch: u64) {
+        self.advance(now);
+        self.fetches.retain(|(of, _)| *of != fetch);
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        let first = self.fetches.iter().map(|fetch| fetch.1.max(0.0)).min_by(f64::total_cmp)?;
+        Some(self.at + Duration::from_secs_f64(first / self.speed()) + Duration::from_micros(1))
+    }
+
+    /// Fetches that are done.
+    pub fn due(&mut self, now: Duration) -> Vec<u64> {
+        self.advance(now);
+        let done: Vec<u64> =
+            self.fetches.iter().filter(|fetch| fetch.1 <= 1e-7).map(|fetch| fetch.0).collect();
+        self.fetches.retain(|fetch| fetch.1 > 1e-7);
+        self.served += done.len() as u64;
+        done
+    }
+}
+
 pub enum Command {
     /// Every fetch takes this many times as long.
     Slow(f64),
@@ -32,23 +111,12 @@
     Refuse(bool),
 }
 
-struct Fetch {
-    exchange: Exchange,
-    /// Seconds of undisturbed fetching left.
-    left: f64,
-}
-
 pub struct Store {
     http: Http<Store>,
     start: Instant,
-    config: Config,
-    fetches: Vec<Fetch>,
-    at: Duration,
-    slow: f64,
-    refuses: bool,
-    turned_away: VecDeque<Duration>,
-    stopped_until: Duration,
-    pub served: u64,
+    model: Model,
+    open: HashMap<u64, Exchange>,
+    drawn: u64,
 }
 
 impl HasHttp for Store {
@@ -62,28 +130,12 @@
         Store {
             http: Http::new(handle, Limits { idle: Duration::from_secs(300), ..Limits::default() }),
             start: Instant::now(),
-            config,
-            fetches: Vec::new(),
-            at: Duration::ZERO,
-            slow: 1.0,
-            refuses: false,
-            turned_away: VecDeque::new(),
-            stopped_until: Duration::ZERO,
-            served: 0,
+            model: Model::new(config),
+            open: HashMap::new(),
+            drawn: 0,
         }
     }
 
-    fn speed(&self) -> f64 {
-        let crowd = (self.fetches.len() as f64 / self.config.capacity).max(1.0);
-        1.0 / (crowd * self.slow)
-    }
-
-    fn advance(&mut self, now: Duration) {
-        let spent = now.saturating_sub(self.at).as_secs_f64() * self.speed();
-        self.at = now;
-        self.fetches.iter_mut().for_each(|fetch| fetch.left -= spent);
-    }
-
     fn say(&mut self, exchange: Exchange, status: u16) {
         self.http.answer(exchange, &Response { status, ..Response::default() });
     }
@@ -94,28 +146,24 @@
 
     fn event(&mut self, event: HttpEvent) {
         let now = self.now();
-        self.advance(now);
         match event {
             HttpEvent::Request { exchange, request: Ok(request) } => {
                 let told = request.head.target.split_once("?us=").and_then(|(_, us)| us.parse::<u64>().ok());
-                let full = self.fetches.len() >= self.config.limit;
-                if now < self.stopped_until {
-                    return self.say(exchange, 503);
-                }
-                if self.refuses || full {
-                    self.turned_away.push_back(now);
-                    self.turned_away.retain(|at| *at + SECOND > now);
-                    if self.config.stops_at > 0 && self.turned_away.len() >= self.config.stops_at {
-                        self.stopped_until = now + self.config.stops_for;
-                        self.turned_away.clear();
-                    }
-                    return self.say(exchange, 503);
+                self.drawn += 1;
+                if self.model.begin(now, self.drawn, Duration::from_micros(told.unwrap_or(0))) {
+                    self.open.insert(self.drawn, exchange);
+                } else {
+                    self.say(exchange, 503);
                 }
-                let left = Duration::from_micros(told.unwrap_or(0)).as_secs_f64();
-                self.fetches.push(Fetch { exchange, left });
             }
             HttpEvent::Request { exchange, request: Err(_) } => self.say(exchange, 400),
-            HttpEvent::Gone { exchange } => self.fetches.retain(|fetch| fetch.exchange != exchange),
+            HttpEvent::Gone { exchange } => {
+                let of = self.open.iter().find(|(_, open)| **open == exchange).map(|(fetch, _)| *fetch);
+                if let Some(fetch) = of {
+                    self.open.remove(&fetch);
+                    self.model.drop_fetch(now, fetch);
+                }
+            }
             HttpEvent::Answer { .. }
             | HttpEvent::Part { .. }
             | HttpEvent::End { .. }
@@ -125,26 +173,22 @@
 
     fn command(&mut self, command: Command) {
         let now = self.now();
-        self.advance(now);
+        self.model.advance(now);
         match command {
-            Command::Slow(times) => self.slow = times.max(0.001),
-            Command::Refuse(on) => self.refuses = on,
+            Command::Slow(times) => self.model.slow = times,
+            Command::Refuse(on) => self.model.refuses = on,
         }
     }
 
     fn next_due(&self) -> Option<Duration> {
-        let first = self.fetches.iter().map(|fetch| fetch.left.max(0.0)).min_by(f64::total_cmp)?;
-        Some(self.at + Duration::from_secs_f64(first / self.speed()) + Duration::from_micros(1))
+        self.model.next_due()
     }
 
     fn due(&mut self, now: Duration) {
-        self.advance(now);
-        let (over, left) = std::mem::take(&mut self.fetches).into_iter().partition(|f| f.left <= 1e-7);
-        self.fetches = left;
-        let over: Vec<Fetch> = over;
-        for fetch in over {
-            self.served += 1;
-            self.say(fetch.exchange, 200);
+        for fetch in self.model.due(now) {
+            if let Some(exchange) = self.open.remove(&fetch) {
+                self.say(exchange, 200);
+            }
         }
     }
 
--- a/crates/quartzdrift-lab/src/worker.rs
+++ b/crates/quartzdrift-lab/src/worker.rs
@@ -335,7 +335,8 @@
     }
 
     fn ran(&mut self, call: u64, found: Found, crowd: usize, wanted: bool) {
-        self.see(Seen::Began { worker: self.address.to_string(), life: self.life, call });
+        let (worker, life, warm) = (self.address.to_string(), self.life, found == Found::Warm);
+        self.see(Seen::Began { worker, life, call, warm });
         let Some(open) = self.open.get(&call) else { return };
         if !wanted {
             self.open.remove(&call);
@@ -351,6 +352,7 @@
     }
 
     fn fetch(&mut self, load: u64, function: &str, takes: Duration) {
+        self.see(Seen::Fetch { worker: self.address.to_string() });
         let Some(store) = self.config.store else {
             let at = self.now() + takes;
             return self.local_fetches.push((at, load));
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -403,6 +403,47 @@
     });
 }
 
+#[test]
+fn a_function_used_at_regular_times_is_loaded_ahead() {
+    let recorder = Recorder::default();
+    let machine = Machine { keep: 400 * MS, ..Machine::default() };
+    let config = Config { machine, recorder: Some(recorder.clone()), ..Config::default() };
+    let worker = spawn(any(), move |handle, address| WorkerStandIn::new(handle, address, config)).unwrap();
+    let stage = Stage { folder: tempfile::tempdir().unwrap(), recorder, workers: vec![worker] };
+    let state = stage.folder.path().join("state");
+    let more = "[forecasts]\nseasons = []\nevery = \"1s\"\n";
+    let trace = stage.folder.path().join("trace.jsonl.gz");
+    let more = format!("{more}[record]\nfile = \"{}\"\n", trace.display());
+    let file = stage.folder.path().join("gateway.toml");
+    let workloads = WORKLOADS
+        .replace("tells_warm = true", "tells_warm = true\norders = true\nkeep = \"400ms\"")
+        .replace("name = \"echo\"", "name = \"echo\"\nload = \"300ms\"");
+    let text = format!(
+        "[gateway]\nlisten = [\"127.0.0.1:0\"]\nstate = \"{}\"\n{workloads}\n{more}[[workers]]\naddress = \"{}\"\n",
+        state.display(),
+        stage.workers[0].address
+    );
+    std::fs::write(&file, text).unwrap();
+    let mut gateway = Gateway::start(&file);
+    let ordered = |seen: &Seen| matches!(seen, Seen::Ordered { .. });
+    let start = Instant::now();
+    let mut calls = 0;
+    while !stage.recorder.lines().iter().any(|line| ordered(&line.seen)) {
+        assert!(calls < 20, "nothing was loaded ahead");
+        std::thread::sleep((Duration::from_secs(1) * calls).saturating_sub(start.elapsed()));
+        assert_eq!(gateway.invoke("echo", "{}").status, 200);
+        calls += 1;
+    }
+    gateway.term();
+    assert!(gateway.ended());
+    let bytes = std::fs::read(state.join("forecasts.snapshot")).unwrap();
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let again = quartzdrift_forecast::Forecasts::restore(Default::default(), &bytes, now).unwrap();
+    assert_eq!(again.len(), 1);
+    let traced = quartzdrift_lab::traffic::read(&trace).unwrap();
+    assert!(traced.len() == calls as usize && traced.iter().all(|arrival| arrival.function == "echo"));
+}
+
 #[test]
 fn a_stopping_gateway_answers_what_it_holds_and_takes_nothing_new() {
     let stage = Stage::new(1);
--- /dev/null
+++ b/crates/quartzdrift/src/gateway/ahead.rs
@@ -0,0 +1,121 @@
+//! Forecasts of use, and loads ahead of need: what is expected goes to the desk, and what came of an order to the
+//! ledger. Whether anything is loaded, and where, is the decision module's.
+use super::Gateway;
+use crate::saved;
+use crate::settings::Function;
+use quartzdrift_choice::interface::{Expectation, Outcome};
+use quartzdrift_forecast::{Ahead, Forecasts};
+use std::collections::HashMap;
+use std::time::Duration;
+
+pub(super) struct Loads {
+    ahead: Ahead,
+    /// Load orders that are out: when each left, and for which function.
+    orders: HashMap<u64, (Duration, String)>,
+    save_at: Duration,
+}
+
+impl Loads {
+    pub fn next_due(&self) -> Option<Duration> {
+        self.ahead.next_due().into_iter().chain([self.save_at]).min()
+    }
+}
+
+impl Gateway {
+    pub(super) fn start_ahead(&mut self) {
+        let Some(told) = self.settings.forecasts.clone() else { return };
+        let now = self.now();
+        let mut ahead = Ahead::new(told.settings.clone());
+        let saved = self.settings.state.as_deref().map(|folder| saved::last(folder, saved::FORECASTS));
+        match saved {
+            Some(Ok(Some(bytes))) => match Forecasts::restore(told.settings, &bytes, now) {
+                Ok(forecasts) => {
+                    tracing::info!(functions = forecasts.len(), "forecasts go on from what was saved");
+                    ahead.forecasts = forecasts;
+                }
+                Err(why) => tracing::warn!(%why, "the saved forecasts are set aside; they begin anew"),
+            },
+            Some(Err(e)) => tracing::warn!(error = %e, "the saved forecasts cannot be read; they begin anew"),
+            Some(Ok(None)) | None => {}
+        }
+        self.ahead = Some(Loads { ahead, orders: HashMap::new(), save_at: now + told.every });
+    }
+
+    /// Every job that is taken is a use of its function.
+    pub(super) fn note_use(&mut self, name: &str, function: &Function, customer: u32, left: Duration) {
+        let now = self.now();
+        if let Some(loads) = &mut self.ahead {
+            loads.ahead.used(now, name, function.load);
+        }
+        if let Some(recorder) = &mut self.recorder {
+            recorder.job(now, name, function.workload, customer, left);
+        }
+    }
+
+    pub(super) fn ahead_ordered(&mut self, order: u64, function: &str) {
+        let now = self.now();
+        let memory = self.settings.function(function).and_then(|f| f.memory_mb).unwrap_or(0.0);
+        if let Some(loads) = &mut self.ahead {
+            loads.ahead.ordered(now, function, memory);
+            loads.orders.insert(order, (now, function.to_owned()));
+            tracing::debug!(function, "load ahead ordered");
+        }
+    }
+
+    pub(super) fn ahead_loaded(&mut self, order: u64, outcome: Outcome) {
+        let now = self.now();
+        if let Some(loads) = &mut self.ahead
+            && let Some((at, function)) = loads.orders.remove(&order)
+        {
+            loads.ahead.loaded(now, &function, outcome == Outcome::Finished, now.saturating_sub(at));
+        }
+    }
+
+    pub(super) fn ahead_due(&mut self, now: Duration) {
+        let Some(loads) = &mut self.ahead else { return };
+        let expected =
+            if loads.next_due().is_some_and(|at| at <= now) { loads.ahead.due(now) } else { Vec::new() };
+        let saves = loads.save_at <= now;
+        for of in expected {
+            let Some(function) = self.settings.function(&of.function) else { continue };
+            let expectation = Expectation {
+                function: &of.function,
+                workload: function.workload,
+                within: of.within,
+                sure: of.sure,
+                jobs_per_second: of.jobs_per_second,
+                memory_mb: function.memory_mb,
+                lanes: function.lanes,
+                load_hint: function.load,
+            };
+            self.desk.expected(now, expectation);
+            self.carry_out();
+        }
+        if saves {
+            self.save_ahead();
+        }
+    }
+
+    /// Saves what was learnt, and says in the log what loads ahead have cost and saved so far.
+    pub(super) fn save_ahead(&mut self) {
+        let now = self.now();
+        let Some(every) = self.settings.forecasts.as_ref().map(|told| told.every) else { return };
+        let Some(loads) = &mut self.ahead else { return };
+        loads.save_at = now + every;
+        let (sums, functions) = (loads.ahead.ledger.sums(), loads.ahead.forecasts.len());
+        tracing::info!(
+            functions,
+            orders = sums.orders,
+            fetches = sums.fetches,
+            failed = sums.failed,
+            used = sums.used,
+            unused = sums.unused,
+            saved_seconds = sums.saved_seconds,
+            mb_seconds = sums.mb_seconds,
+            "account of loads ahead"
+        );
+        if let Some(saver) = &self.saver {
+            saver.save(saved::FORECASTS, loads.ahead.forecasts.save(now));
+        }
+    }
+}
--- a/crates/quartzdrift/src/gateway/clients.rs
+++ b/crates/quartzdrift/src/gateway/clients.rs
@@ -95,6 +95,7 @@
             customer: customer.1,
             streams: workload.streams,
         };
+        self.note_use(&name, &function, customer.0, left);
         let is_retry = head.headers.get("x-quartzdrift-retry").is_some();
         let new = new_job(&function, name.into(), customer.0, left, is_retry, Rc::new(work));
         match self.desk.job(self.now(), new) {
--- a/crates/quartzdrift/src/gateway/fronts.rs
+++ b/crates/quartzdrift/src/gateway/fronts.rs
@@ -105,6 +105,7 @@
             streams: false,
         };
         let left = left.map_or(limit, |left| left.min(limit));
+        self.note_use(&job.function, &function, job.customer, left);
         let new = new_job(&function, job.function.into(), job.customer, left, false, Rc::new(work));
         match self.desk.job(self.now(), new) {
             Ok(_) => self.carry_out(),
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -3,12 +3,15 @@
 //! * `clients`: calls become jobs, final answers go back.
 //! * `workers`: executions, orders and probes.
 //! * `roster`: where the list of workers comes from.
+//! * `ahead`: forecasts of use, and loads ahead of need.
 //! * `fronts`: deferred jobs and timers.
+mod ahead;
 mod clients;
 mod fronts;
 mod roster;
 mod workers;
 
+use crate::record::Recorder;
 use crate::saved::{self, Saver};
 use crate::settings::Settings;
 use calloop::LoopHandle;
@@ -107,6 +110,8 @@
     timers: Timers,
     belief: Belief,
     roster: roster::Source,
+    ahead: Option<ahead::Loads>,
+    recorder: Option<Recorder>,
     saver: Option<Saver>,
     stopping: Option<Duration>,
     pub counts: Counts,
@@ -142,17 +147,20 @@
             timers: Timers::new(timers, seed, epoch),
             belief: Belief::default(),
             roster: roster::Source::new(&settings),
+            ahead: None,
+            recorder: settings.record.as_ref().map(Recorder::start).transpose()?,
             saver,
             stopping: None,
             counts: Counts::default(),
             settings,
         };
         gateway.first_list();
+        gateway.start_ahead();
         Ok(gateway)
     }
 
     fn first_list(&mut self) {
-        let saved = self.settings.state.as_deref().map(saved::last);
+        let saved = self.settings.state.as_deref().map(|folder| saved::last(folder, saved::WORKERS));
         let workers = match saved {
             Some(Ok(Some(bytes))) => match list::read(&bytes, &self.settings.known) {
                 Ok(saved) if !saved.workers.is_empty() => saved.workers,
@@ -192,6 +200,7 @@
             self.deferred.next_due(),
             self.timers.next_due().filter(|_| self.stopping.is_none()),
             self.roster.next_due(),
+            self.ahead.as_ref().and_then(ahead::Loads::next_due),
             self.stopping,
         ];
         let own = own.into_iter().flatten().min().map(|at| at.saturating_sub(now));
@@ -211,6 +220,7 @@
             self.carry_out();
         }
         self.roster_due(now);
+        self.ahead_due(now);
         self.fronts_due(now);
     }
 
@@ -258,12 +268,14 @@
                 let call = self.orders.get(&order).copied();
                 if let Some(call) = call.filter(|call| self.http.unsent_call(*call)) {
                     self.orders.remove(&order);
+                    self.ahead_loaded(order, Outcome::Moot);
                     self.calls.remove(&call);
                     self.http.cancel(call);
                     self.desk.order_ended(self.now(), order, Outcome::Moot, 0, Vec::new());
                 }
             }
             Output::DropOrder { order } => {
+                self.ahead_loaded(order, Outcome::TimedOut);
                 if let Some(call) = self.orders.remove(&order) {
                     self.calls.remove(&call);
                     self.http.cancel(call);
@@ -329,6 +341,7 @@
         self.desk.stop(self.now());
         self.carry_out();
         self.say_lost();
+        self.save_ahead();
         tracing::info!(counts = ?self.counts, "stopped");
     }
 
--- a/crates/quartzdrift/src/gateway/roster.rs
+++ b/crates/quartzdrift/src/gateway/roster.rs
@@ -183,7 +183,7 @@
 
     fn save_list(&self) {
         if let Some(saver) = &self.saver {
-            saver.save(list::write(&self.belief.workers(), &self.settings.known));
+            saver.save(crate::saved::WORKERS, list::write(&self.belief.workers(), &self.settings.known));
         }
     }
 
--- a/crates/quartzdrift/src/gateway/workers.rs
+++ b/crates/quartzdrift/src/gateway/workers.rs
@@ -138,6 +138,7 @@
             Some(Use::Load { order }) => {
                 self.orders.remove(&order);
                 let copies = models::copies(&answer.body).unwrap_or(0);
+                self.ahead_loaded(order, outcome);
                 self.desk.order_ended(self.now(), order, outcome, copies, Vec::new());
                 self.carry_out();
             }
@@ -210,6 +211,7 @@
             }
             Some(Use::Probe { order } | Use::Load { order }) => {
                 self.orders.remove(&order);
+                self.ahead_loaded(order, outcome);
                 self.desk.order_ended(self.now(), order, outcome, 0, Vec::new());
                 self.carry_out();
             }
@@ -237,6 +239,7 @@
     pub(super) fn load(&mut self, order: u64, worker: &str, function: &str, copies: u32) {
         let headers = Headers::new().with("content-type", "application/json");
         let body = models::order(copies).into();
+        self.ahead_ordered(order, function);
         let outgoing = self.outgoing("POST", models::load_target(function), headers, body);
         self.order(worker, outgoing, order, Use::Load { order });
     }
--- a/crates/quartzdrift/src/lib.rs
+++ b/crates/quartzdrift/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod gateway;
 pub mod invoke;
 pub mod logs;
+pub mod record;
 pub mod saved;
 pub mod serve;
 pub mod settings;
--- a/crates/quartzdrift/src/saved.rs
+++ b/crates/quartzdrift/src/saved.rs
@@ -1,17 +1,21 @@
-//! The last list of workers on disk: written whole beside its place and then renamed, on a thread of its own,
+//! What outlasts the process on disk, one file for each thing: written whole beside its place and then renamed, on a thread of its own,
 //! so that neither a crash nor a slow disk leaves a torn list or holds up the event loop.
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread::JoinHandle;
 
-const NAME: &str = "workers.json";
+/// The last list of workers.
+pub const WORKERS: &str = "workers.json";
+/// What forecasts have learnt.
+pub const FORECASTS: &str = "forecasts.snapshot";
 
 #[derive(Default)]
 struct Box {
-    /// The newest list not yet written; older ones are of no use.
-    next: Option<Vec<u8>>,
+    /// The newest of each not yet written; older ones are of no use.
+    next: BTreeMap<&'static str, Vec<u8>>,
     stop: bool,
 }
 
@@ -20,18 +24,18 @@
     thread: Option<JoinHandle<()>>,
 }
 
-fn write(folder: &Path, bytes: &[u8]) -> io::Result<()> {
-    let beside = folder.join(format!("{NAME}.new"));
+fn write(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+    let beside = folder.join(format!("{name}.new"));
     let mut file = File::create(&beside)?;
     file.write_all(bytes)?;
     file.sync_all()?;
-    fs::rename(&beside, folder.join(NAME))?;
+    fs::rename(&beside, folder.join(name))?;
     File::open(folder)?.sync_all()
 }
 
 /// What was saved last; `None` where nothing was.
-pub fn last(folder: &Path) -> io::Result<Option<Vec<u8>>> {
-    match fs::read(folder.join(NAME)) {
+pub fn last(folder: &Path, name: &str) -> io::Result<Option<Vec<u8>>> {
+    match fs::read(folder.join(name)) {
         Ok(bytes) => Ok(Some(bytes)),
         Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(e) => Err(e),
@@ -47,13 +51,13 @@
             let (place, bell) = &*of;
             loop {
                 let mut held = place.lock().unwrap_or_else(PoisonError::into_inner);
-                while held.next.is_none() && !held.stop {
+                while held.next.is_empty() && !held.stop {
                     held = bell.wait(held).unwrap_or_else(PoisonError::into_inner);
                 }
-                let Some(bytes) = held.next.take() else { return };
+                let Some((name, bytes)) = held.next.pop_first() else { return };
                 drop(held);
-                if let Err(e) = write(&folder, &bytes) {
-                    tracing::error!(folder = %folder.display(), error = %e, "the list of workers was not saved");
+                if let Err(e) = write(&folder, name, &bytes) {
+                    tracing::error!(folder = %folder.display(), name, error = %e, "what is to outlast the process was not saved");
                 }
             }
         };
@@ -61,10 +65,10 @@
         Ok(Saver { shared, thread: Some(thread) })
     }
 
-    /// Has `bytes` written soon, in place of what still waits.
-    pub fn save(&self, bytes: Vec<u8>) {
+    /// Has `bytes` written soon, in place of what still waits under this name.
+    pub fn save(&self, name: &'static str, bytes: Vec<u8>) {
         let (place, bell) = &*self.shared;
-        place.lock().unwrap_or_else(PoisonError::into_inner).next = Some(bytes);
+        place.lock().unwrap_or_else(PoisonError::into_inner).next.insert(name, bytes);
         bell.notify_one();
     }
 }
@@ -88,10 +92,11 @@
     #[test]
     fn the_newest_list_is_there_after_the_end() {
         let folder = tempfile::tempdir().unwrap();
-        assert!(last(folder.path()).unwrap().is_none());
+        assert!(last(folder.path(), WORKERS).unwrap().is_none());
         let saver = Saver::start(folder.path().join("state")).unwrap();
-        (0..100).for_each(|n| saver.save(format!("[{n}]").into_bytes()));
+        (0..100).for_each(|n| saver.save(WORKERS, format!("[{n}]").into_bytes()));
+        saver.save(FORECASTS, b"other".to_vec());
         drop(saver);
-        assert_eq!(last(&folder.path().join("state")).unwrap().unwrap(), b"[99]");
+        assert_eq!(last(&folder.path().join("state"), WORKERS).unwrap().unwrap(), b"[99]");
     }
 }
--- a/crates/quartzdrift/src/settings/check.rs
+++ b/crates/quartzdrift/src/settings/check.rs
@@ -89,6 +89,14 @@
     let on_success = to(&raw.deferred.on_success, raw, faults.table("deferred"), &mut faults);
     let on_failure = to(&raw.deferred.on_failure, raw, faults.table("deferred"), &mut faults);
     let deferred = deferred(raw, &mut faults);
+    let forecasts = forecasts(raw, &mut faults);
+    if raw.record.as_ref().is_some_and(|record| record.file.is_empty() || record.bytes == 0) {
+        faults.add(
+            faults.table("record"),
+            "a trace needs a file and room",
+            "write file = \"trace.jsonl.gz\"",
+        );
+    }
     if let Err(e) = tracing_subscriber::EnvFilter::try_new(&raw.log.filter) {
         let mend = "write a level like \"info\", or \"info,quartzdrift=debug\"";
         faults.add(faults.key("log", "filter"), format!("the log filter cannot be read: {e}"), mend);
@@ -132,9 +140,45 @@
         on_success,
         on_failure,
         timers,
+        forecasts,
+        record: raw.record.clone().map(|record| super::Record {
+            file: record.file.into(),
+            bytes: record.bytes,
+            hash_names: record.hash_names,
+        }),
     })
 }
 
+fn forecasts(raw: &File, faults: &mut Faults) -> Option<super::Forecasts> {
+    let told = raw.forecasts.as_ref()?;
+    if told.functions == 0 {
+        faults.add(
+            faults.key("forecasts", "functions"),
+            "no function is remembered",
+            "write a number over 0",
+        );
+    }
+    if told.every.0 < Duration::from_secs(1) {
+        faults.add(faults.key("forecasts", "every"), "every is under a second", "write \"60s\" or so");
+    }
+    if told.seasons.len() > 2 || told.seasons.iter().any(|season| season.0 < Duration::from_secs(60)) {
+        let mend = "write two spans of a minute or more at most, like [\"1d\", \"7d\"]";
+        faults.add(faults.key("forecasts", "seasons"), "there are too many seasons, or too short ones", mend);
+    }
+    if !raw.copies.orders {
+        let mend = "write orders = true under [copies], or leave [forecasts] out";
+        faults.add(faults.table("forecasts"), "forecasts are kept, but load orders are not allowed", mend);
+    }
+    let keep = raw.copies.keep.map_or(quartzdrift_forecast::Settings::default().keep, |keep| keep.0);
+    let settings = quartzdrift_forecast::Settings {
+        functions: told.functions,
+        keep,
+        seasons: told.seasons.iter().map(|season| season.0).collect(),
+        ..quartzdrift_forecast::Settings::default()
+    };
+    Some(super::Forecasts { settings, every: told.every.0 })
+}
+
 fn listen(raw: &File, faults: &mut Faults) -> Vec<SocketAddr> {
     if raw.gateway.listen.is_empty() {
         faults.add(
--- a/crates/quartzdrift/src/settings/mod.rs
+++ b/crates/quartzdrift/src/settings/mod.rs
@@ -91,6 +91,21 @@
     pub on_success: Option<Destination>,
     pub on_failure: Option<Destination>,
     pub timers: Vec<(Timer, Rc<[u8]>)>,
+    pub forecasts: Option<Forecasts>,
+    pub record: Option<Record>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Forecasts {
+    pub settings: quartzdrift_forecast::Settings,
+    pub every: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub file: PathBuf,
+    pub bytes: u64,
+    pub hash_names: bool,
 }
 
 impl Settings {
--- a/crates/quartzdrift/src/settings/raw.rs
+++ b/crates/quartzdrift/src/settings/raw.rs
@@ -65,6 +65,49 @@
     pub deferred: Deferred,
     #[serde(default)]
     pub timers: Vec<Spanned<Timer>>,
+    pub forecasts: Option<Forecasts>,
+    pub record: Option<Record>,
+}
+
+/// Loads ahead of need by forecasts of use.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Forecasts {
+    /// Functions whose use is remembered at most.
+    pub functions: usize,
+    /// Lengths of the seasons that are looked for.
+    pub seasons: Vec<Span>,
+    /// How often what was learnt is saved, where `gateway.state` is told, and the account is logged.
+    pub every: Span,
+}
+
+impl Default for Forecasts {
+    fn default() -> Forecasts {
+        let day = Duration::from_secs(86_400);
+        Forecasts {
+            functions: 100_000,
+            seasons: vec![Span(day), Span(day * 7)],
+            every: Span(Duration::from_secs(60)),
+        }
+    }
+}
+
+/// A trace of all jobs, for the emulator and for load.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// JSON lines, compressed by gzip where the name ends in `.gz`.
+    pub file: String,
+    /// Bytes written at most, before compression; then it ends.
+    #[serde(default = "record_bytes")]
+    pub bytes: u64,
+    /// Names of functions are replaced by hashes.
+    #[serde(default)]
+    pub hash_names: bool,
+}
+
+fn record_bytes() -> u64 {
+    1 << 30
 }
 
 #[derive(Clone, Debug, Deserialize)]
