--- a/crates/quartzdrift-forecast/src/forecasts.rs
+++ b/crates/quartzdrift-forecast/src/forecasts.rs
@@ -13,6 +13,8 @@
 const SEASON_USES: u32 = 12;
 /// Share of the functions kept that may be new ones, met once: a scan of functions used once drives out only others.
 const NEW_SHARE: f64 = 0.25;
+/// Of the greatest chance there will be: what is near enough to it to act on.
+const NEAR_MOST: f64 = 0.6;
 /// Of the keep-alive: a gap in which no copy is unloaded, nor looked at.
 const SHORT: f64 = 0.5;
 /// Times a function is looked at between two uses: the chance of a use long awaited fades anyway.
@@ -183,6 +185,12 @@
         if a >= 1.0 - 1e-9 { 0.0 } else { ((b - a) / (1.0 - a)).clamp(0.0, 1.0) }
     }
 
+    /// How long what is ordered so long after the last use is there for it: a copy that stands is renewed at once,
+    /// another one is there once it is loaded.
+    fn span(keep: f64, load: f64, since: f64) -> f64 {
+        if since < keep { keep } else { load + keep }
+    }
+
     /// What a load of the function takes, in seconds.
     fn load(settings: &Settings, track: &Track) -> f64 {
         if track.load_us > 0 { track.load_us as f64 / 1e6 } else { settings.load.as_secs_f64() }
@@ -208,10 +216,11 @@
             track.history.moments(period).into_iter().map(|at| at - lead).filter(|at| *at > since + 0.01),
         );
         moments.sort_by(f64::total_cmp);
-        let worth = |at: &f64| {
-            *at >= renew && Self::chance(&track.history, best, *at, *at + load + keep) >= SAY_LEAST
-        };
-        let at = moments.into_iter().filter(|at| *at >= least).find(worth);
+        let chance = |at: f64| Self::chance(&track.history, best, at, at + Self::span(keep, load, at));
+        // Not the first moment at which there is some chance, but one at which there is most of it.
+        let later = moments.iter().copied().filter(|at| *at >= least.max(renew));
+        let most = later.clone().map(chance).fold(0.0, f64::max);
+        let at = later.into_iter().find(|at| chance(*at) >= SAY_LEAST.max(most * NEAR_MOST));
         let Some(at) = at else { return };
         let at = Duration::try_from_secs_f64(track.history.last + at).unwrap_or(now).max(now);
         if let Some(track) = self.tracks.get_mut(function) {
@@ -234,8 +243,8 @@
             let (history, quiet) = (&track.history, track.quiet_until > now);
             if let (Some((by, _)), false) = (history.best(), quiet) {
                 let since = now.as_secs_f64() - history.last;
-                // A copy that is ordered now stands from the end of its load for the keep-alive.
-                let within = self.settings.keep + Duration::from_secs_f64(Self::load(&self.settings, track));
+                let (keep, load) = (self.settings.keep.as_secs_f64(), Self::load(&self.settings, track));
+                let within = Duration::from_secs_f64(Self::span(keep, load, since));
                 let sure = Self::chance(history, by, since, since + within.as_secs_f64());
                 if sure >= SAY_LEAST {
                     let jobs_per_second = history.rate(by, now);
