--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -521,3 +521,40 @@
     assert!(rules.contains(&Rule::EffectTwice) && rules.contains(&Rule::TwoAtOnce), "{rules:?}");
     assert!(!audit(&bad.lines, &bad.terms).is_empty());
 }
+
+#[test]
+fn a_streamed_answer_reaches_the_client_part_by_part() {
+    let worker = std::net::TcpListener::bind(any()).unwrap();
+    let (at, (go_on, may_go_on)) = (worker.local_addr().unwrap(), std::sync::mpsc::channel());
+    let serving = std::thread::spawn(move || {
+        let (mut stream, _) = worker.accept().unwrap();
+        let (mut seen, mut part) = (String::new(), [0; 4096]);
+        while !seen.ends_with("{}") {
+            let n = stream.read(&mut part).unwrap();
+            seen.push_str(&String::from_utf8_lossy(&part[..n]));
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\none\r\n").unwrap();
+        // The second part leaves only once the client has the first.
+        may_go_on.recv().unwrap();
+        stream.write_all(b"3\r\ntwo\r\n0\r\n\r\n").unwrap();
+    });
+    let stage = Stage::new(0);
+    let streams = "[[workloads]]\nname = \"talk\"\neffect = \"restartable\"\ntime_limit = \"3s\"\nstreams = true\n\
+        [[functions]]\nname = \"tale\"\nworkload = \"talk\"\n";
+    let gateway = stage.gateway_with("", &format!("{streams}[[workers]]\naddress = \"{at}\"\n"));
+    let request = "POST /2015-03-31/functions/tale/invocations HTTP/1.1\r\ncontent-length: 2\r\n\r\n{}";
+    let mut client = gateway.raw(request.as_bytes());
+    let (mut seen, mut part) = (String::new(), [0; 4096]);
+    for (expected, then) in [("one", true), ("two", false)] {
+        while !seen.contains(expected) {
+            let n = client.read(&mut part).unwrap();
+            assert!(n > 0, "ended after {seen:?}");
+            seen.push_str(&String::from_utf8_lossy(&part[..n]));
+        }
+        if then {
+            assert!(seen.contains("transfer-encoding: chunked") && !seen.contains("two"));
+            go_on.send(()).unwrap();
+        }
+    }
+    serving.join().unwrap();
+}
