Emulator: one way to make a list, a repeat as an event of its own; a wrapper less in the fronts

Found on reading the change again: the list of workers was made in two places, a repeat was a time-out with a special number, and destination_failed only called another function.

--- a/crates/quartzdrift-lab/src/emulate.rs
+++ b/crates/quartzdrift-lab/src/emulate.rs
@@ -86,16 +86,56 @@
 enum Ev {
     Arrive(usize),
     ClientTimeout(usize, u32),
+    /// A repeat whose time has come.
+    Again(usize),
     DeskDue(usize, u64),
-    Came { worker: usize, scheduler: usize, life: u64, job: u64, execution: u32, call: u64, client: usize },
-    Back { scheduler: usize, life: u64, job: u64, execution: u32, ended: Ended },
-    Cancel { worker: usize, call: u64 },
+    Came {
+        worker: usize,
+        scheduler: usize,
+        life: u64,
+        job: u64,
+        execution: u32,
+        call: u64,
+        client: usize,
+    },
+    Back {
+        scheduler: usize,
+        life: u64,
+        job: u64,
+        execution: u32,
+        ended: Ended,
+    },
+    Cancel {
+        worker: usize,
+        call: u64,
+    },
     WorkerDue(usize),
     StoreDue,
-    Order { worker: usize, scheduler: usize, life: u64, order: u64, function: Rc<str>, copies: u32 },
-    OrderBack { scheduler: usize, life: u64, order: u64, outcome: Outcome, copies: u32 },
-    List { scheduler: usize, worker: usize, state: State, started: Option<Duration> },
-    FullList { scheduler: usize, life: u64 },
+    Order {
+        worker: usize,
+        scheduler: usize,
+        life: u64,
+        order: u64,
+        function: Rc<str>,
+        copies: u32,
+    },
+    OrderBack {
+        scheduler: usize,
+        life: u64,
+        order: u64,
+        outcome: Outcome,
+        copies: u32,
+    },
+    List {
+        scheduler: usize,
+        worker: usize,
+        state: State,
+        started: Option<Duration>,
+    },
+    FullList {
+        scheduler: usize,
+        life: u64,
+    },
     Trouble(usize),
     Foresee(usize),
     Sample,
@@ -329,9 +369,7 @@
         settings.me = Some(s as u32);
         let life = self.schedulers[s].life + 1;
         let mut desk = Desk::new(&settings, seed.wrapping_mul(1_000_003) ^ (s as u64) << 8 ^ life);
-        let list = self.roster.clone();
-        let entries = self.entries(&list);
-        desk.list(self.now, ListForm::Saved, entries);
+        desk.list(self.now, ListForm::Saved, entries(&self.names, &self.roster));
         let ahead = (self.variant.forecasting == Forecasting::On).then(|| {
             let span = |s: &f64| Duration::from_secs_f64(*s);
             Ahead::new(quartzdrift_forecast::Settings {
@@ -346,21 +384,11 @@
         self.outputs(s);
     }
 
-    fn entries(&self, list: &[(State, Option<Duration>)]) -> Vec<Entry<'_>> {
-        let of = self.names.iter().zip(list);
-        let entry = |(worker, (state, started)): (&String, &(State, Option<Duration>))| Entry {
-            worker: self.names.iter().find(|name| *name == worker).map_or("", |name| name.as_str()),
-            state: *state,
-            started: *started,
-            ..Entry::default()
-        };
-        of.filter(|(_, (state, _))| *state != State::Gone).map(entry).collect()
-    }
-
     fn event(&mut self, event: Ev, machine: &Machine, seed: u64) {
         match event {
             Ev::Arrive(n) => self.arrive(n),
             Ev::ClientTimeout(client, turn) => self.client_timeout(client, turn),
+            Ev::Again(client) => self.ask(client),
             Ev::DeskDue(s, life) => self.desk_due(s, life),
             Ev::Came { worker, scheduler, life, job, execution, call, client } => {
                 self.came(worker, (scheduler, life, job, execution), call, client)
@@ -399,21 +427,8 @@
             }
             Ev::FullList { scheduler, life } => {
                 if self.schedulers[scheduler].life == life {
-                    let list = self.roster.clone();
-                    let names = self.names.clone();
-                    let up = names.iter().zip(&list).filter(|(_, (state, _))| *state != State::Gone);
-                    let entry = |(worker, (state, started)): (&'_ String, &(State, Option<Duration>))| {
-                        (worker.clone(), *state, *started)
-                    };
-                    let told: Vec<_> = up.map(entry).collect();
-                    let entries = told.iter().map(|(worker, state, started)| Entry {
-                        worker,
-                        state: *state,
-                        started: *started,
-                        ..Entry::default()
-                    });
                     if let Some(desk) = &mut self.schedulers[scheduler].desk {
-                        desk.list(self.now, ListForm::Full, entries.collect());
+                        desk.list(self.now, ListForm::Full, entries(&self.names, &self.roster));
                     }
                     self.outputs(scheduler);
                 }
@@ -502,17 +517,11 @@
             let Client { arrival, repeats, gateway, first, turn, .. } = *of;
             self.clients.push(Client { arrival, repeats, gateway, first, turn, open: false, job: None });
             let again = self.clients.len() - 1;
-            self.drawn += 1;
-            self.queue.push(Reverse((at, self.drawn)));
-            self.events.insert(self.drawn, Ev::ClientTimeout(again, u32::MAX));
+            self.put(at, Ev::Again(again));
         }
     }
 
     fn client_timeout(&mut self, client: usize, turn: u32) {
-        if turn == u32::MAX {
-            // A repeat whose time has come.
-            return self.ask(client);
-        }
         let of = &mut self.clients[client];
         if of.open && of.turn == turn {
             of.open = false;
@@ -959,6 +968,18 @@
     }
 }
 
+/// The whole list as a roster tells it.
+fn entries<'a>(names: &'a [String], roster: &[(State, Option<Duration>)]) -> Vec<Entry<'a>> {
+    let there = names.iter().zip(roster).filter(|(_, (state, _))| *state != State::Gone);
+    let entry = |(worker, &(state, started)): (&'a String, &(State, Option<Duration>))| Entry {
+        worker,
+        state,
+        started,
+        ..Entry::default()
+    };
+    there.map(entry).collect()
+}
+
 fn expectation<'a>(
     function: &'a str,
     workload: usize,
--- a/crates/quartzdrift/src/gateway/fronts.rs
+++ b/crates/quartzdrift/src/gateway/fronts.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    fn tell_destination(&mut self, left: u32, to: (SocketAddr, String), record: Rc<[u8]>) {
+    pub(super) fn tell_destination(&mut self, left: u32, to: (SocketAddr, String), record: Rc<[u8]>) {
         let on_their_way = self.calls.values().filter(|of| matches!(of, Use::Destination { .. })).count();
         if left == 0 || on_their_way >= DESTINATIONS_MOST {
             return tracing::error!(to = %to.0, target = to.1, "a record for a destination was lost");
@@ -179,10 +179,6 @@
         self.calls.insert(call, Use::Destination { left: left - 1, to, record });
     }
 
-    pub(super) fn destination_failed(&mut self, left: u32, to: (SocketAddr, String), record: Rc<[u8]>) {
-        self.tell_destination(left, to, record);
-    }
-
     /// Names what this instance held and nobody will hear of again.
     pub(super) fn say_lost(&self) {
         let left: Vec<_> = self.deferred.left().collect();
--- a/crates/quartzdrift/src/gateway/workers.rs
+++ b/crates/quartzdrift/src/gateway/workers.rs
@@ -145,7 +145,7 @@
             Some(Use::List) => self.list_came(answer.status, &answer.body),
             Some(Use::Destination { left, to, record }) => {
                 if !(200..300).contains(&answer.status) {
-                    self.destination_failed(left, to, record);
+                    self.tell_destination(left, to, record);
                 }
             }
             Some(Use::Unload | Use::Stream) | None => {}
@@ -217,7 +217,7 @@
             }
             Some(Use::List) => self.list_failed(&format!("{how:?}")),
             Some(Use::Stream) => self.roster_stream_lost(&format!("{how:?}")),
-            Some(Use::Destination { left, to, record }) => self.destination_failed(left, to, record),
+            Some(Use::Destination { left, to, record }) => self.tell_destination(left, to, record),
             Some(Use::Unload) | None => {}
         }
     }
