--- a/crates/quartzdrift-forecast/src/ledger.rs
+++ b/crates/quartzdrift-forecast/src/ledger.rs
@@ -1,5 +1,5 @@
 //! The account of loads ahead: what each cost, and whether it was used.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Share of a function's recent loads ahead that may go unused before it is left alone.
@@ -54,6 +54,8 @@
     all: Sums,
     lines: BTreeMap<String, Line>,
     open: BTreeMap<String, Open>,
+    /// The same by when they are over: asked for on every turn of the event loop.
+    ends: BTreeSet<(Duration, String)>,
 }
 
 impl Ledger {
@@ -92,7 +94,10 @@
                 fetched: false,
                 until: now + self.keep,
             };
-            self.open.entry(function.to_owned()).or_insert(open);
+            if !self.open.contains_key(function) {
+                self.ends.insert((open.until, function.to_owned()));
+                self.open.insert(function.to_owned(), open);
+            }
         }
     }
 
@@ -100,7 +105,7 @@
     pub fn loaded(&mut self, now: Duration, function: &str, good: bool, fetched: bool) {
         if !good {
             self.change(function, now, |sums| sums.failed += 1);
-            self.open.remove(function);
+            self.close(function);
             return;
         }
         if fetched {
@@ -109,13 +114,15 @@
         let keep = self.keep;
         if let Some(open) = self.open.get_mut(function) {
             open.took = now.saturating_sub(open.ordered);
+            self.ends.remove(&(open.until, function.to_owned()));
             (open.stood, open.fetched, open.until) = (Some(now), fetched, now + keep);
+            self.ends.insert((open.until, function.to_owned()));
         }
     }
 
     /// A job of the function came, which a load ahead may have been for.
     pub fn used(&mut self, now: Duration, function: &str) {
-        let Some(open) = self.open.remove(function) else { return };
+        let Some(open) = self.close(function) else { return };
         let stood = open.stood.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let saved = match (open.fetched, open.stood) {
             (true, Some(_)) => open.took.as_secs_f64(),
@@ -148,21 +155,24 @@
         Some(until)
     }
 
+    fn close(&mut self, function: &str) -> Option<Open> {
+        let open = self.open.remove(function)?;
+        self.ends.remove(&(open.until, function.to_owned()));
+        Some(open)
+    }
+
     pub fn next_due(&self) -> Option<Duration> {
-        self.open.values().map(|open| open.until).min()
+        self.ends.first().map(|(until, _)| *until)
     }
 
     /// Closes the lines of loads that nobody used in time; functions to be left alone, and until when.
     pub fn due(&mut self, now: Duration) -> Vec<(String, Duration)> {
-        let over: Vec<String> = self
-            .open
-            .iter()
-            .filter(|(_, open)| open.until <= now)
-            .map(|(function, _)| function.clone())
-            .collect();
+        let over = self.ends.iter().take_while(|(until, _)| *until <= now);
+        let mut over: Vec<String> = over.map(|(_, function)| function.clone()).collect();
+        over.sort();
         let mut quiet = Vec::new();
         for function in over {
-            let Some(open) = self.open.remove(&function) else { continue };
+            let Some(open) = self.close(&function) else { continue };
             let held = open.memory_mb * self.keep.as_secs_f64();
             self.change(&function, now, |sums| {
                 sums.unused += 1;
