--- a/crates/quartzdrift-adapter/src/main.rs
+++ b/crates/quartzdrift-adapter/src/main.rs
@@ -1,6 +1,5 @@
 //! Speaks the simulator's wire on standard input and output for many instances of the decision module,
 //! which share nothing. All decisions are the module's; this only translates.
-mod settings;
 mod wire;
 
 use quartzdrift_choice::choice::Scheduler;
@@ -33,7 +32,8 @@
         let event = match line.name {
             "open_instance" => {
                 let told = line.to_end("boot-info").ok_or_else(need("boot-info"))?;
-                let settings = settings::read(told).map_err(|e| format!("'boot-info': {e}"))?;
+                let told = serde_json::from_str(told).map_err(|e| format!("'boot-info': {e}"))?;
+                let settings = quartzdrift_platform::settings::read(&told);
                 let seed = line.count("nonce64").ok_or_else(need("nonce64"))?;
                 self.instances.insert(instance, Scheduler::new(&settings, seed));
                 return Ok(());
--- a/crates/quartzdrift-desk/src/desk.rs
+++ b/crates/quartzdrift-desk/src/desk.rs
@@ -80,6 +80,8 @@
         execution: u32,
         worker: Rc<str>,
         function: Rc<str>,
+        /// How long its answer is waited for.
+        wait: Duration,
         payload: P,
     },
     /// Close the execution's connection. Nothing more of it is to be told.
@@ -233,6 +235,11 @@
         self.out.len()
     }
 
+    /// Executions of a job that are out.
+    pub fn executions_of(&self, job: JobId) -> impl Iterator<Item = u32> {
+        self.out.range((job, 0)..=(job, u32::MAX)).map(|((_, execution), _)| *execution)
+    }
+
     pub fn workers_up(&self) -> usize {
         self.workers.values().filter(|state| **state == State::Up).count()
     }
@@ -498,7 +505,8 @@
         let limit = time_limit.filter(|limit| *limit < left);
         let timer = limit.map(|limit| self.timers.set(self.now + limit, Due::Execution(job, execution)));
         self.out.insert((job, execution), Out { worker: worker.clone(), sent: self.now, timer });
-        self.outputs.push(Output::Execute { job, execution, worker, function, payload });
+        let wait = limit.unwrap_or(left);
+        self.outputs.push(Output::Execute { job, execution, worker, function, wait, payload });
     }
 
     fn order(
--- a/crates/quartzdrift-http/src/http.rs
+++ b/crates/quartzdrift-http/src/http.rs
@@ -3,6 +3,7 @@
 use crate::body::{BodyError, BodyReader};
 use crate::conn::*;
 use crate::head::{self, Framing, HeadError, Headers, RequestHead, ResponseHead};
+use crate::links::connect;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness};
 use slab::Slab;
@@ -849,19 +850,6 @@
     Ok(socket.into())
 }
 
-fn connect(to: SocketAddr) -> io::Result<TcpStream> {
-    use socket2::{Domain, Protocol, Socket, Type};
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    match socket.connect(&to.into()) {
-        Ok(()) => {}
-        // Under way: the socket turns writable once it is there.
-        Err(e) if e.raw_os_error() == Some(libc::EINPROGRESS) || e.kind() == io::ErrorKind::WouldBlock => {}
-        Err(e) => return Err(e),
-    }
-    Ok(socket.into())
-}
-
 fn bad_head(error: HeadError) -> BadRequest {
     match error {
         HeadError::TooLarge => BadRequest::HeadTooLarge,
--- a/crates/quartzdrift-http/src/lib.rs
+++ b/crates/quartzdrift-http/src/lib.rs
@@ -10,6 +10,7 @@
 mod conn;
 pub mod head;
 mod http;
+pub mod links;
 
 pub use conn::{BadRequest, Failure};
 pub use head::{Headers, RequestHead, ResponseHead};
--- /dev/null
+++ b/crates/quartzdrift-platform/src/asked.rs
@@ -0,0 +1,196 @@
+//! A client's fields, read and checked at the door: workers close a whole connection, with all that is open on it,
+//! on what they cannot read, so nothing doubtful may reach one.
+use quartzdrift_choice::interface::Settings;
+use std::time::Duration;
+
+/// Largest figure of a job that is believed: more memory, lanes or load time than any machine has.
+const MEMORY_MB_MOST: f64 = 1e7;
+const LANES_MOST: f64 = 1e5;
+const LOAD_MS_MOST: f64 = 3.6e6;
+/// By how much a client's time may pass its workload's limit, for rounding on the way.
+const TIME_ROUNDING: Duration = Duration::from_millis(5);
+const DIGITS: usize = 16;
+
+/// The fields as they came, by their names in CGI; `None` where one is missing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fields<'a> {
+    /// Path under which the program was called: `/do/CLASS`.
+    pub path: Option<&'a str>,
+    pub id: Option<&'a str>,
+    pub time: Option<&'a str>,
+    pub function: Option<&'a str>,
+    pub figures: Option<&'a str>,
+    /// The body's length as told, and as it came.
+    pub length: Option<&'a str>,
+    pub body: usize,
+}
+
+/// What is asked, checked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Asked<'a> {
+    pub id: u64,
+    pub workload: u32,
+    pub function: &'a str,
+    pub left: Duration,
+    pub memory_mb: Option<f64>,
+    pub lanes: Option<f64>,
+    pub load: Option<Duration>,
+    pub work: Option<Duration>,
+}
+
+/// What is wrong with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    Path,
+    Workload,
+    Id,
+    Function,
+    Time,
+    Figures,
+    Length,
+}
+
+impl Wrong {
+    pub fn status(self) -> u16 {
+        match self {
+            Wrong::Path | Wrong::Workload => 404,
+            Wrong::Id | Wrong::Function | Wrong::Time | Wrong::Figures | Wrong::Length => 400,
+        }
+    }
+
+    pub fn text(self) -> &'static str {
+        match self {
+            Wrong::Path => "no such path",
+            Wrong::Workload => "no such class",
+            Wrong::Id => "the id is not 16 hex digits",
+            Wrong::Function => "the function is not 16 hex digits",
+            Wrong::Time => "the time is no number of milliseconds in range",
+            Wrong::Figures => "a figure is no number in range",
+            Wrong::Length => "the length told is not the body's",
+        }
+    }
+}
+
+fn hex(text: Option<&str>) -> Option<&str> {
+    text.filter(|text| text.len() == DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit()))
+}
+
+fn figure(text: &str, least: f64, most: f64) -> Result<f64, Wrong> {
+    let plain = |b: u8| b.is_ascii_digit() || b == b'.';
+    let value = text.parse::<f64>().ok().filter(|_| text.bytes().all(plain)).ok_or(Wrong::Figures)?;
+    if value >= least && value <= most { Ok(value) } else { Err(Wrong::Figures) }
+}
+
+pub fn read<'a>(fields: &Fields<'a>, settings: &Settings) -> Result<Asked<'a>, Wrong> {
+    let class = fields.path.and_then(|path| path.strip_prefix("/do/")).ok_or(Wrong::Path)?;
+    let workload = settings.workloads.iter().position(|w| w.name == class).ok_or(Wrong::Workload)?;
+    let id = hex(fields.id).and_then(|id| u64::from_str_radix(id, 16).ok()).ok_or(Wrong::Id)?;
+    let function = hex(fields.function).ok_or(Wrong::Function)?;
+    let digits = |text: &&str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    let ms = fields.time.filter(digits).and_then(|text| text.parse::<u64>().ok()).ok_or(Wrong::Time)?;
+    let left = Duration::from_millis(ms);
+    let limit = settings.workloads[workload].time_limit.unwrap_or(Duration::MAX);
+    if left.is_zero() || left > limit.saturating_add(TIME_ROUNDING) {
+        return Err(Wrong::Time);
+    }
+    if let Some(length) = fields.length.filter(|text| !text.is_empty()) {
+        let told = Some(length).filter(digits).and_then(|text| text.parse::<usize>().ok());
+        if told != Some(fields.body) {
+            return Err(Wrong::Length);
+        }
+    }
+    let mut asked = Asked {
+        id,
+        workload: workload as u32,
+        function,
+        left,
+        memory_mb: None,
+        lanes: None,
+        load: None,
+        work: None,
+    };
+    for one in fields.figures.unwrap_or("").split(';').filter(|one| !one.is_empty()) {
+        let (name, value) = one.split_once(':').ok_or(Wrong::Figures)?;
+        let millis = |value| figure(value, 0.0, LOAD_MS_MOST).map(|ms| Duration::from_secs_f64(ms / 1e3));
+        match name {
+            "memory_mb" => asked.memory_mb = Some(figure(value, f64::MIN_POSITIVE, MEMORY_MB_MOST)?),
+            "lanes" => asked.lanes = Some(figure(value, 1.0, LANES_MOST)?),
+            "load_ms" => asked.load = Some(millis(value)?),
+            "hint" => asked.work = Some(millis(value)?),
+            // A figure that we have no use for may have any form.
+            _ => {}
+        }
+    }
+    Ok(asked)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use quartzdrift_choice::interface::Workload;
+
+    fn settings() -> Settings {
+        let time_limit = Some(Duration::from_secs(4));
+        let map = Workload { name: "map".to_owned(), time_limit, ..Workload::default() };
+        Settings { workloads: vec![map], ..Settings::default() }
+    }
+
+    fn good<'a>() -> Fields<'a> {
+        Fields {
+            path: Some("/do/map"),
+            id: Some("9b1f03aa5c7e2d41"),
+            time: Some("1500"),
+            function: Some("7f3a9c21e0b4d655"),
+            figures: Some("memory_mb:512;lanes:2;load_ms:640"),
+            length: Some("3"),
+            body: 3,
+        }
+    }
+
+    #[test]
+    fn a_good_one_is_read_as_it_came() {
+        let asked = read(&good(), &settings()).unwrap();
+        assert_eq!((asked.id, asked.function), (0x9b1f_03aa_5c7e_2d41, "7f3a9c21e0b4d655"));
+        assert_eq!((asked.left, asked.memory_mb), (Duration::from_millis(1500), Some(512.0)));
+        assert_eq!((asked.lanes, asked.load), (Some(2.0), Some(Duration::from_millis(640))));
+    }
+
+    #[test]
+    fn each_field_that_is_out_of_range_is_named() {
+        let wrong = |change: &dyn Fn(&mut Fields)| {
+            let mut fields = good();
+            change(&mut fields);
+            read(&fields, &settings()).unwrap_err()
+        };
+        assert_eq!(wrong(&|f| f.path = Some("/other")), Wrong::Path);
+        assert_eq!(wrong(&|f| f.path = Some("/do/map,x=1")), Wrong::Workload);
+        for id in
+            [None, Some(""), Some("9b1f03aa5c7e2d4"), Some("9b1f03aa5c7e2d41a"), Some("+b1f03aa5c7e2d41")]
+        {
+            assert_eq!(wrong(&|f| f.id = id), Wrong::Id);
+        }
+        assert_eq!(wrong(&|f| f.function = Some("7f3a9c21,x=4d655")), Wrong::Function);
+        for time in
+            [None, Some("0"), Some("-5"), Some("+5"), Some("1e3"), Some("4006"), Some("99999999999999999999")]
+        {
+            assert_eq!(wrong(&|f| f.time = time), Wrong::Time);
+        }
+        for figures in ["lanes:-1", "lanes:0", "memory_mb:nan", "memory_mb:1e400", "load_ms:x", "lanes"] {
+            assert_eq!(wrong(&|f| f.figures = Some(figures)), Wrong::Figures);
+        }
+        for length in ["4", "-1", "99999999999999999999", "x"] {
+            assert_eq!(wrong(&|f| f.length = Some(length)), Wrong::Length);
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn nothing_that_passes_can_break_a_frames_fields(function in ".{0,20}", figures in ".{0,40}") {
+            let fields = Fields { function: Some(&function), figures: Some(&figures), ..good() };
+            if let Ok(asked) = read(&fields, &settings()) {
+                prop_assert!(asked.function.bytes().all(|b| b.is_ascii_alphanumeric()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-platform/src/config.rs
@@ -0,0 +1,96 @@
+//! The configuration that the platform gives a scheduler.
+use crate::coordinator::News;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Descriptors where no limit is told.
+const SOCKETS_UNTOLD: usize = 1024;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    #[serde(default)]
+    pub cores: Option<f64>,
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    #[serde(default)]
+    pub sockets: Option<usize>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Raw {
+    name: String,
+    listen: SocketAddr,
+    #[serde(default)]
+    seed: Value,
+    #[serde(default)]
+    limits: Option<Limits>,
+    coordinator: SocketAddr,
+    #[serde(default)]
+    known: News,
+    settings: Value,
+}
+
+/// A configuration, read whole.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub coordinator: SocketAddr,
+    pub known: News,
+    pub settings: quartzdrift_choice::interface::Settings,
+    /// Names of the values in a load report, as the settings have them.
+    pub report_names: Vec<String>,
+}
+
+fn seed(value: &Value) -> u64 {
+    match value {
+        Value::String(hex) => u64::from_str_radix(hex, 16).unwrap_or(0),
+        other => other.as_u64().unwrap_or(0),
+    }
+}
+
+/// Reads a configuration; the error says in one line what is wrong with it.
+pub fn read(bytes: &[u8]) -> Result<Config, String> {
+    let raw: Raw = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    let settings = crate::settings::read(&raw.settings);
+    if settings.workloads.is_empty() {
+        return Err("the settings name no class".to_owned());
+    }
+    let names = raw.settings.pointer("/stats/fields").and_then(Value::as_array);
+    let names = names.into_iter().flatten().map(|name| name.as_str().unwrap_or("").to_owned());
+    Ok(Config {
+        name: raw.name,
+        listen: raw.listen,
+        seed: seed(&raw.seed),
+        sockets: raw.limits.and_then(|limits| limits.sockets).unwrap_or(SOCKETS_UNTOLD),
+        coordinator: raw.coordinator,
+        known: raw.known,
+        report_names: names.collect(),
+        settings,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.4:8443","seed":"8c1f30d27a5be964",
+        "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"coordinator":"127.2.0.1:2379",
+        "known":{"index":1,"updates":[{"index":1,"endpoints":{"rev":1,"all":true,"targets":[]}}]},
+        "settings":{"classes":[{"name":"map","deadline-ns":3000000000}],"stats":{"fields":["q"]}}}"#;
+
+    #[test]
+    fn a_configuration_is_read_whole_or_not_at_all() {
+        let config = read(GOOD.as_bytes()).unwrap();
+        assert_eq!((config.seed, config.sockets), (0x8c1f_30d2_7a5b_e964, 256));
+        assert_eq!(config.settings.workloads[0].name, "map");
+        assert_eq!(config.report_names, ["q"]);
+        for (good, bad) in [("127.0.0.4:8443", "nowhere"), ("\"map\"", "7,"), ("\"classes\"", "\"other\"")] {
+            assert!(read(GOOD.replace(good, bad).as_bytes()).is_err(), "{bad}");
+        }
+        assert!(read(&GOOD.as_bytes()[..200]).is_err());
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-platform/src/lanes.rs
@@ -0,0 +1,50 @@
+//! Which connection to a worker carries an execution.
+//!
+//! Whatever spoils a connection puts all that is open on it in doubt, so each execution has one to itself while
+//! descriptors last; beyond that they are shared, the least used one first.
+
+/// A connection as the choice sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lane {
+    /// Executions open on it.
+    pub open: usize,
+    /// It has come up.
+    pub up: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// The lane at this place.
+    Use(usize),
+    /// A new connection.
+    Connect,
+    /// All are full, and none may be added.
+    Full,
+}
+
+/// Chooses among a worker's lanes. `streams`: executions that one carries at most; `may_connect`: a descriptor is
+/// left for one more.
+pub fn choose(lanes: &[Lane], streams: usize, may_connect: bool) -> Choice {
+    let free = lanes.iter().enumerate().filter(|(_, lane)| lane.open < streams);
+    // Of equally used ones the one that is up, so that nobody waits for a handshake without need.
+    match free.min_by_key(|(_, lane)| (lane.open, !lane.up)) {
+        Some((at, lane)) if lane.open == 0 || !may_connect => Choice::Use(at),
+        Some(_) | None if may_connect => Choice::Connect,
+        Some(_) | None => Choice::Full,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_has_its_own_while_descriptors_last() {
+        let lane = |open, up| Lane { open, up };
+        assert_eq!(choose(&[], 32, true), Choice::Connect);
+        assert_eq!(choose(&[lane(1, true), lane(0, false), lane(0, true)], 32, true), Choice::Use(2));
+        assert_eq!(choose(&[lane(1, true)], 32, true), Choice::Connect);
+        assert_eq!(choose(&[lane(3, true), lane(2, true)], 32, false), Choice::Use(1));
+        assert_eq!(choose(&[lane(32, true)], 32, false), Choice::Full);
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-platform/src/proof.rs
@@ -0,0 +1,63 @@
+//! What each end on a worker's connection proves.
+//!
+//! | seen | may it have run? | told to the module as |
+//! | --- | --- | --- |
+//! | code 64 | it ran | finished |
+//! | code 66 | never | miss |
+//! | code 67 | never | full |
+//! | code 68 | it may have | error |
+//! | code 69 | never | moot |
+//! | connection refused, or not there in time | never | connect failed |
+//! | connection ended, the command not whole on it | never | sent again elsewhere, then connect failed |
+//! | connection ended, the command whole on it | it may have | reset |
+//! | bytes on it that cannot be read | it may have, all that is open on it | reset |
+//! | given up by us | it may have | cancelled or timed out, by the desk |
+use crate::frame::Code;
+use quartzdrift_choice::interface::Outcome;
+
+/// How an execution's connection ended under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// It never came up.
+    NotConnected,
+    /// Not the whole command had left: no worker can have read it.
+    Unsent,
+    /// The whole command had left.
+    Sent,
+}
+
+/// What an answer proves; `None` for one that speaks of the connection alone.
+pub fn answered(code: Code) -> Option<Outcome> {
+    match code {
+        Code::Done => Some(Outcome::Finished),
+        Code::Miss => Some(Outcome::Miss),
+        Code::Full => Some(Outcome::Full),
+        Code::Error => Some(Outcome::Error),
+        Code::Over => Some(Outcome::Moot),
+        Code::Alive => None,
+    }
+}
+
+/// What the end of a connection proves of an execution on it.
+pub fn cut(how: Cut) -> Outcome {
+    match how {
+        Cut::NotConnected | Cut::Unsent => Outcome::ConnectFailed,
+        Cut::Sent => Outcome::Reset,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_what_cannot_have_run_is_told_as_such() {
+        let harmless = [Outcome::Miss, Outcome::Full, Outcome::Moot, Outcome::ConnectFailed];
+        for code in [Code::Miss, Code::Full, Code::Over] {
+            assert!(answered(code).is_some_and(|outcome| harmless.contains(&outcome)), "{code:?}");
+        }
+        assert_eq!(answered(Code::Error), Some(Outcome::Error));
+        assert_eq!(answered(Code::Alive), None);
+        assert_eq!((cut(Cut::Unsent), cut(Cut::Sent)), (Outcome::ConnectFailed, Outcome::Reset));
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-platform/src/report.rs
@@ -0,0 +1,43 @@
+//! Load reports of workers: `report=queue:7;x0:0.61` among the fields of an answer.
+
+/// Names that reports give to values which the settings name otherwise.
+const ALIASES: [(&str, &str); 6] = [
+    ("inflight", "rif"),
+    ("queue", "q"),
+    ("util", "busy"),
+    ("latency_ms", "lat_ms"),
+    ("qps", "rate"),
+    ("eps", "fail_rate"),
+];
+
+/// The values in the order of the settings; empty where there is no report, `None` where one value is missing
+/// or no number.
+pub fn read(fields: &[u8], names: &[String]) -> Vec<Option<f64>> {
+    let text = std::str::from_utf8(fields).unwrap_or("");
+    let Some(report) = text.split(',').find_map(|field| field.strip_prefix("report=")) else {
+        return Vec::new();
+    };
+    let wire = |name: &str| ALIASES.iter().find(|(alias, _)| *alias == name).map_or(name, |a| a.1).to_owned();
+    let told: Vec<(String, &str)> =
+        report.split(';').filter_map(|one| one.split_once(':')).map(|(n, v)| (wire(n), v)).collect();
+    let value = |name: &String| {
+        let wanted = wire(name);
+        let (_, value) = told.iter().find(|(told, _)| *told == wanted)?;
+        value.parse::<f64>().ok().filter(|value| value.is_finite())
+    };
+    names.iter().map(value).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn values_come_in_the_order_of_the_settings() {
+        let names = ["q", "x0", "x1"].map(str::to_owned);
+        let read = |text: &str| read(text.as_bytes(), &names);
+        assert_eq!(read("report=x0:0.5;queue:7"), [Some(7.0), Some(0.5), None]);
+        assert_eq!(read("remark=1,report=q:3;x0:nan;x1:2"), [Some(3.0), None, Some(2.0)]);
+        assert!(read("remark=1").is_empty());
+    }
+}
--- a/crates/quartzdrift-adapter/src/settings.rs
+++ b/crates/quartzdrift-platform/src/settings.rs
@@ -1,4 +1,4 @@
-//! The settings of `boot-info`, put into the interface's words.
+//! The settings object of the platform, put into the interface's words: one reader for adapter and daemon.
 use quartzdrift_choice::interface::*;
 use serde_json::Value;
 use std::time::Duration;
@@ -60,7 +60,8 @@
     }
 }
 
-fn field(name: &str) -> ReportField {
+/// A value of a load report by its name in the settings.
+pub fn field(name: &str) -> ReportField {
     match name {
         "rif" => ReportField::Held,
         "q" => ReportField::Queued,
@@ -74,42 +75,42 @@
     }
 }
 
-pub fn read(text: &str) -> Result<Settings, serde_json::Error> {
-    let all: Value = serde_json::from_str(text)?;
+/// Reads the settings object, as the simulator's first message and a scheduler's configuration hold it.
+pub fn read(all: &Value) -> Settings {
     let none = Value::Null;
     let part = |key: &str| all.get(key).unwrap_or(&none);
     let (allowed, rules, copies) = (part("allowed"), part("safety"), part("family-info"));
     let (prices, goal, reports) = (part("fees"), part("goal"), part("stats"));
     let price = |key: &str| number(prices, key).unwrap_or(0.0);
     let weight = |key: &str| number(goal, key).unwrap_or(0.0);
-    Ok(Settings {
-        me: count(&all, "me"),
-        schedulers: count(&all, "replicas-of-me"),
-        zone: count(&all, "zone"),
-        zones: names(&all, "zones"),
-        kinds: names(&all, "skus"),
-        tier: count(&all, "tier"),
-        tiers: names(&all, "tiers"),
-        family: word(&all, "workload").to_owned(),
-        resolution: span(&all, "resolution-ns"),
-        discovery: match word(&all, "registry-mode") {
+    Settings {
+        me: count(all, "me"),
+        schedulers: count(all, "replicas-of-me"),
+        zone: count(all, "zone"),
+        zones: names(all, "zones"),
+        kinds: names(all, "skus"),
+        tier: count(all, "tier"),
+        tiers: names(all, "tiers"),
+        family: word(all, "workload").to_owned(),
+        resolution: span(all, "resolution-ns"),
+        discovery: match word(all, "registry-mode") {
             "ask" => Discovery::Ask,
             _ => Discovery::Push,
         },
-        weights: match word(&all, "weight-kind") {
+        weights: match word(all, "weight-kind") {
             "nominal" => Weights::Nominal,
             "rough" => Weights::Rough,
             "live" => Weights::Live,
             _ => Weights::Silent,
         },
-        counted_by: match word(&all, "worth-by") {
+        counted_by: match word(all, "worth-by") {
             "work" => CountedBy::Work,
             _ => CountedBy::Job,
         },
-        over_share_importance: number(&all, "over-share-worth"),
+        over_share_importance: number(all, "over-share-worth"),
         clients_mark_retries: flag(part("clients"), "marks-retry"),
-        workloads: list(&all, "classes").map(workload).collect(),
-        customers: list(&all, "tenants")
+        workloads: list(all, "classes").map(workload).collect(),
+        customers: list(all, "tenants")
             .map(|one| Customer {
                 name: word(one, "name").to_owned(),
                 share: number(one, "share"),
@@ -180,5 +181,5 @@
             worst_workload: weight("worst-class"),
             worst_customer: weight("worst-tenant"),
         },
-    })
+    }
 }
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -257,7 +257,7 @@
 
     fn output(&mut self, output: Output<Rc<Work>>) {
         match output {
-            Output::Execute { job, execution, worker, function, payload } => {
+            Output::Execute { job, execution, worker, function, payload, wait: _ } => {
                 self.execute(job, execution, worker, function, payload)
             }
             Output::Cancel { job, execution } => self.drop_execution(job, execution),
--- a/crates/quartzdrift/src/lib.rs
+++ b/crates/quartzdrift/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod gateway;
 pub mod invoke;
 pub mod logs;
+pub mod platform;
 pub mod record;
 pub mod saved;
 pub mod serve;
--- a/crates/quartzdrift/src/logs.rs
+++ b/crates/quartzdrift/src/logs.rs
@@ -3,6 +3,12 @@
 use std::io::IsTerminal;
 use tracing_subscriber::EnvFilter;
 
+/// Starts logging as text, filtered by the environment.
+pub fn start_by_environment() {
+    let filter = std::env::var(EnvFilter::DEFAULT_ENV).unwrap_or_else(|_| "info".to_owned());
+    start(&Log { json: false, filter });
+}
+
 /// Starts logging; a second start in one process changes nothing.
 pub fn start(log: &Log) {
     let filter = EnvFilter::try_new(&log.filter).unwrap_or_else(|_| EnvFilter::new("info"));
--- a/crates/quartzdrift/src/main.rs
+++ b/crates/quartzdrift/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line.
 use clap::{Parser, Subcommand};
 use quartzdrift::gateway::fleet::View;
+use quartzdrift::platform::run;
 use quartzdrift::{invoke, logs, saved, serve, settings};
 use quartzdrift_deferred::Submitted;
 use quartzdrift_store::{Folder, look, repair};
@@ -46,6 +47,12 @@
     /// Run the gateway by a settings file until it is told to stop
     #[command(after_help = EXAMPLE)]
     Serve { file: PathBuf },
+    /// Run as a scheduler on the operators' platform, by the configuration that GW_CONFIG names
+    #[command(
+        after_help = "SIGHUP reads the configuration again, SIGTERM stops once all is answered. RUST_LOG filters \
+                            what goes to standard error (default info). docs/platform.md has the rest."
+    )]
+    Run,
     /// Check a settings file and say what is wrong, with line and mend; exit status 1 where something is
     Check { file: PathBuf },
     /// Show the fleet as the gateway of a settings file last saw it (it needs gateway.state)
@@ -149,6 +156,7 @@
             }
             Err(faults) => say(&faults),
         },
+        Command::Run => scheduler(),
         Command::Check { file } => match settings::load(&file) {
             Ok(settings) => {
                 let (functions, workers) = (settings.functions.len(), settings.workers.len());
@@ -193,6 +201,19 @@
     }
 }
 
+/// A scheduler on the platform. Signals come first: from the very first moment none of them ends the process.
+fn scheduler() -> ExitCode {
+    let run = || {
+        let signals = run::signals()?;
+        logs::start_by_environment();
+        run::run(&run::path()?, signals, |at| serve::announce(&[at]))
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(&e.to_string()),
+    }
+}
+
 /// Prints what a running gateway saves every few seconds.
 fn members(settings: &settings::Settings) -> ExitCode {
     let (Some(folder), Some(_)) = (&settings.state, &settings.fleet) else {
--- /dev/null
+++ b/crates/quartzdrift/src/platform/clients.rs
@@ -0,0 +1,347 @@
+//! Clients over FastCGI: requests become jobs, and every one that is owed an answer gets it at once.
+use super::{Node, Peer, Work};
+use quartzdrift_choice::interface::{JobId, Outcome};
+use quartzdrift_desk::{Ended, FinalAnswer, NewJob, Why};
+use quartzdrift_fastcgi::{self as fastcgi, Answer, Bad, Params, Responder, Told};
+use quartzdrift_http::links::{LinkId, Links};
+use quartzdrift_platform::asked::{self, Fields, Wrong};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bounds of the platform's pages, and a bound on parameters that is far above what they need.
+const LIMITS: fastcgi::Limits = fastcgi::Limits { params: 8 << 10, body: 16 << 10, open: 32 };
+/// For a first request to come whole, and for any that has begun: whoever cannot be served is owed an end in 3 s.
+const RECEIVE: Duration = Duration::from_secs(2);
+/// For a client to take the last that is written before its connection is closed.
+const LAST_WORDS: Duration = Duration::from_secs(2);
+/// Bytes that wait for a client at most: its 32 answers with room; more, and it is cut off.
+const UNREAD_MOST: usize = 1 << 20;
+/// Told to those for whom there is no room at all.
+const BUSY_COME_BACK: Duration = Duration::from_millis(200);
+
+/// What a client's connection is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Limit {
+    /// Its first whole request.
+    First,
+    /// The rest of a request.
+    Rest,
+    /// It may take its time.
+    None,
+    /// The last bytes to leave, then it is closed.
+    Closing,
+}
+
+pub(crate) struct Client {
+    responder: Responder,
+    jobs: BTreeMap<u16, JobId>,
+    limit: Limit,
+}
+
+impl Client {
+    fn closing(&self) -> bool {
+        self.limit == Limit::Closing
+    }
+}
+
+fn client(links: &mut Links<Node, Peer>, id: LinkId) -> Option<&mut Client> {
+    match &mut links.get_mut(id)?.state {
+        Peer::Client(client) => Some(client),
+        Peer::Lane(_) => None,
+    }
+}
+
+/// A parameter that may be left out, but not be given as no text, or twice.
+fn optional<'a>(params: &'a Params, name: &str, wrong: Wrong) -> Result<Option<&'a str>, Wrong> {
+    match params.iter().any(|(n, _)| n == name.as_bytes()) {
+        false => Ok(None),
+        true => params.text(name).map(Some).ok_or(wrong),
+    }
+}
+
+fn fields(params: &Params, body: usize) -> Result<Fields<'_>, Wrong> {
+    Ok(Fields {
+        path: params.text("SCRIPT_NAME"),
+        id: params.text("HTTP_X_REQUEST_ID"),
+        time: params.text("HTTP_X_TIMEOUT_MS"),
+        function: params.text("HTTP_X_OBJECT"),
+        figures: optional(params, "HTTP_X_SPEC", Wrong::Figures)?,
+        length: optional(params, "CONTENT_LENGTH", Wrong::Length)?,
+        body,
+    })
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Internal Server Error",
+    }
+}
+
+impl Node {
+    pub(super) fn accept(&mut self) {
+        let room = |links: &mut Links<Node, Peer>| {
+            if let Some(id) = longest_silent(links) {
+                links.set_deadline(id, Some(Duration::ZERO));
+            }
+        };
+        for stream in self.links.accept(room) {
+            if self.clients >= self.budget.clients {
+                // The one that has been silent longest makes room; where none is, the newcomer is closed unread.
+                let Some(silent) = longest_silent(&self.links) else {
+                    self.counts.cut += 1;
+                    continue;
+                };
+                self.counts.cut += 1;
+                self.close_client(silent);
+            }
+            let responder = Responder::new(LIMITS);
+            let client = Client { responder, jobs: BTreeMap::new(), limit: Limit::First };
+            if let Ok(id) = self.links.insert(stream, Peer::Client(client)) {
+                self.clients += 1;
+                self.links.set_deadline(id, Some(RECEIVE));
+            }
+        }
+    }
+
+    pub(super) fn drive_client(&mut self, id: LinkId) {
+        self.links.flush_one(id);
+        self.links.read(id);
+        let Some(link) = self.links.get_mut(id) else { return };
+        let ended = link.ended();
+        let Peer::Client(of) = &mut link.state else { return };
+        if of.closing() {
+            let unread = link.input.len();
+            link.consume(unread);
+            if ended {
+                self.close_client(id);
+            }
+            return;
+        }
+        let (mut out, mut told) = (Vec::new(), Vec::new());
+        let read = of.responder.read(&link.input, &mut out, &mut told);
+        if let Ok(used) = read {
+            link.consume(used);
+        }
+        if !out.is_empty() {
+            self.write(id, &out);
+        }
+        for told in told {
+            match told {
+                Told::Request { number, params, body } => self.request(id, number, &params, body),
+                Told::Bad { number, bad: Bad::Params } => self.say(id, number, 400, "parameters", None),
+                Told::Bad { number, bad: Bad::TooLarge } => self.say(id, number, 413, "too large", None),
+                Told::Aborted { number } => {
+                    let job = client(&mut self.links, id).and_then(|client| client.jobs.remove(&number));
+                    job.into_iter().for_each(|job| self.leave(job));
+                }
+            }
+        }
+        match read {
+            Err(broken) => {
+                tracing::debug!(?broken, "a client is out of step");
+                self.counts.cut += 1;
+                self.close_client(id);
+            }
+            Ok(_) if ended => self.close_client(id),
+            Ok(_) => self.limit_client(id),
+        }
+    }
+
+    fn write(&mut self, id: LinkId, bytes: &[u8]) {
+        if let Some(output) = self.links.output(id) {
+            output.extend_from_slice(bytes);
+        }
+    }
+
+    /// Sets what the connection is waited for now.
+    fn limit_client(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        let (partial, unread) = (!link.input.is_empty(), link.waiting());
+        let Peer::Client(client) = &mut link.state else { return };
+        let responder = &client.responder;
+        let (limit, after) = if responder.is_spoilt() && responder.waiting().next().is_none() {
+            (Limit::Closing, Some(LAST_WORDS))
+        } else if unread > UNREAD_MOST {
+            self.counts.cut += 1;
+            return self.close_client(id);
+        } else if !responder.has_asked() {
+            (Limit::First, Some(RECEIVE))
+        } else if partial || responder.is_partial() {
+            (Limit::Rest, Some(RECEIVE))
+        } else {
+            (Limit::None, None)
+        };
+        // A limit that stands is not moved: bytes that drip in win no time.
+        if client.limit != limit {
+            client.limit = limit;
+            self.links.set_deadline(id, after);
+        }
+        if limit == Limit::Closing {
+            self.closing.push(id);
+        }
+    }
+
+    /// Closes those whose last words have left.
+    pub(super) fn close_served(&mut self) {
+        for id in std::mem::take(&mut self.closing) {
+            match self.links.get(id).map(|link| link.waiting()) {
+                Some(0) => self.close_client(id),
+                Some(_) => self.closing.push(id),
+                None => {}
+            }
+        }
+    }
+
+    pub(super) fn client_overdue(&mut self, id: LinkId) {
+        self.counts.cut += 1;
+        self.close_client(id);
+    }
+
+    /// Closes a client's connection; what is open on it is over.
+    fn close_client(&mut self, id: LinkId) {
+        let Some(Peer::Client(client)) = self.links.close(id) else { return };
+        self.clients -= 1;
+        client.jobs.into_values().for_each(|job| self.leave(job));
+    }
+
+    /// Nobody waits for a job any more: its execution is given up where the settings allow it.
+    fn leave(&mut self, job: JobId) {
+        let now = self.now();
+        let cancel = self.config.settings.allowed.cancel;
+        let out: Vec<u32> = self.desk.executions_of(job).filter(|_| cancel).collect();
+        self.desk.client_gone(now, job);
+        self.carry_out();
+        for execution in out {
+            self.give_up(job, execution);
+            self.desk.ended(now, job, execution, Ended::silent(Outcome::Cancelled));
+        }
+        self.carry_out();
+    }
+
+    fn request(&mut self, id: LinkId, number: u16, params: &Params, body: Vec<u8>) {
+        if params.get("SCRIPT_NAME") == Some(b"/check") {
+            let ready = self.stopping.is_none() && self.desk.workers_up() > 0;
+            let (status, text) = if ready { (200, "ready") } else { (503, "not ready") };
+            return self.say(id, number, status, text, None);
+        }
+        let asked = fields(params, body.len()).and_then(|f| asked::read(&f, &self.config.settings));
+        let asked = match asked {
+            Ok(asked) => asked,
+            Err(wrong) => {
+                self.counts.wrong += 1;
+                tracing::debug!(?wrong, "no job");
+                return self.say(id, number, wrong.status(), wrong.text(), None);
+            }
+        };
+        if let Some(&other) = self.open.get(&asked.id) {
+            return self.id_taken(id, number, other);
+        }
+        let work = Work { id: asked.id, client: id, number, workload: asked.workload, body };
+        let new = NewJob {
+            workload: asked.workload,
+            customer: 0,
+            function: asked.function.into(),
+            left: asked.left,
+            work_hint: asked.work,
+            memory_mb: asked.memory_mb,
+            lanes: asked.lanes,
+            load_hint: asked.load,
+            is_retry: false,
+            writes: false,
+            payload: Rc::new(work),
+        };
+        match self.desk.job(self.now(), new) {
+            Ok(job) => {
+                self.counts.taken += 1;
+                self.open.insert(asked.id, job);
+                if let Some(client) = client(&mut self.links, id) {
+                    client.jobs.insert(number, job);
+                }
+                self.carry_out();
+            }
+            Err(_) => self.say(id, number, 503, "full", Some(BUSY_COME_BACK)),
+        }
+    }
+
+    /// The id of an open job: workers would take the one for the other. Where both came over one connection,
+    /// neither can be trusted.
+    fn id_taken(&mut self, id: LinkId, number: u16, other: JobId) {
+        self.counts.wrong += 1;
+        self.say(id, number, 409, "this id is open", None);
+        let Some(client) = client(&mut self.links, id) else { return };
+        let first = client.jobs.iter().find(|(_, job)| **job == other).map(|(number, _)| *number);
+        if let Some(first) = first {
+            client.jobs.remove(&first);
+            self.leave(other);
+            self.say(id, first, 409, "this id came twice", None);
+        }
+    }
+
+    /// An answer of our own.
+    fn say(&mut self, id: LinkId, number: u16, status: u16, text: &str, come_back: Option<Duration>) {
+        self.answer(id, number, status, text.as_bytes(), come_back);
+    }
+
+    fn answer(&mut self, id: LinkId, number: u16, status: u16, body: &[u8], come_back: Option<Duration>) {
+        let ms = come_back.map(|span| span.as_nanos().div_ceil(1_000_000).to_string());
+        let field = ms.as_deref().map(|ms| ("Retry-After-Ms", ms));
+        let answer = Answer { status, reason: reason(status), fields: field.as_slice(), body };
+        let Some(client) = client(&mut self.links, id) else { return };
+        let mut out = Vec::with_capacity(body.len() + 128);
+        if client.responder.answer(number, &answer, &mut out) == fastcgi::Ended::Close {
+            client.limit = Limit::Closing;
+            self.links.set_deadline(id, Some(LAST_WORDS));
+            self.closing.push(id);
+        }
+        self.write(id, &out);
+    }
+
+    pub(super) fn final_answer(&mut self, job: JobId, work: &Work, answer: FinalAnswer) {
+        self.open.remove(&work.id);
+        let said = self.in_hand.take();
+        if let Some(client) = client(&mut self.links, work.client)
+            && client.jobs.get(&work.number) == Some(&job)
+        {
+            client.jobs.remove(&work.number);
+        }
+        let (id, number) = (work.client, work.number);
+        let count = match answer {
+            FinalAnswer::Finished => &mut self.counts.finished,
+            FinalAnswer::PushedBack { .. } => &mut self.counts.pushed_back,
+            FinalAnswer::Killed { .. } => &mut self.counts.killed,
+            FinalAnswer::Expired => &mut self.counts.expired,
+        };
+        *count += 1;
+        match (answer, said) {
+            (FinalAnswer::Finished, Some(body)) => self.answer(id, number, 200, &body, None),
+            (FinalAnswer::Finished, None) => self.say(id, number, 500, "no answer", None),
+            (FinalAnswer::PushedBack { come_back, .. }, _) => {
+                self.say(id, number, 503, "come back", come_back)
+            }
+            (FinalAnswer::Killed { why: Why::Time }, _) => self.say(id, number, 504, "its time is up", None),
+            (FinalAnswer::Killed { why: Why::Doubt | Why::Stop }, _) => {
+                self.say(id, number, 500, "it may have run", None)
+            }
+            (FinalAnswer::Expired, _) => {}
+        }
+    }
+}
+
+/// The client without a request that has been silent longest: it was taken, or had its last answer, before others.
+fn longest_silent(links: &Links<Node, Peer>) -> Option<LinkId> {
+    let silent = |(id, link): (LinkId, &quartzdrift_http::links::Link<Peer>)| match &link.state {
+        Peer::Client(client) if client.jobs.is_empty() && client.limit != Limit::Closing => {
+            Some((link.heard(), id))
+        }
+        Peer::Client(_) | Peer::Lane(_) => None,
+    };
+    links.iter().filter_map(silent).min_by_key(|(heard, _)| *heard).map(|(_, id)| id)
+}
--- /dev/null
+++ b/crates/quartzdrift/src/platform/coordinator.rs
@@ -0,0 +1,172 @@
+//! The list of workers: one long poll that is always out, and what its answers change.
+use super::Node;
+use quartzdrift_choice::interface::{Entry, ListForm, State};
+use quartzdrift_http::{CallId, Failure, Headers, Outgoing, Response};
+use quartzdrift_platform::coordinator::{Change, Doubt, Follower, Listed, News};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a poll may wait: short, so that a silence is found well before its news counts as told.
+const WAIT: Duration = Duration::from_millis(1000);
+/// Past the wait, before a poll counts as lost.
+const OVERDUE: Duration = Duration::from_millis(400);
+/// Before the next poll after one that failed, doubled up to the most.
+const AGAIN: Duration = Duration::from_millis(20);
+const AGAIN_MOST: Duration = Duration::from_millis(640);
+/// Gaps in a row after which the whole list is asked for.
+const GAPS_MOST: u32 = 2;
+
+pub(super) struct Coordinator {
+    address: SocketAddr,
+    follower: Follower,
+    call: Option<(CallId, Duration)>,
+    at: Duration,
+    failures: u32,
+    gaps: u32,
+}
+
+impl Coordinator {
+    pub fn new(address: SocketAddr) -> Coordinator {
+        let follower = Follower::default();
+        Coordinator { address, follower, call: None, at: Duration::ZERO, failures: 0, gaps: 0 }
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        Some(self.call.map_or(self.at, |(_, until)| until))
+    }
+}
+
+impl Node {
+    pub(super) fn coordinator_due(&mut self, now: Duration) {
+        if let Some((call, _)) = self.coordinator.call.take_if(|(_, until)| *until <= now) {
+            self.http.cancel(call);
+            self.poll_failed("no answer in time");
+        }
+        if self.coordinator.call.is_none() && self.coordinator.at <= now {
+            self.poll();
+        }
+    }
+
+    fn poll(&mut self) {
+        let request = Outgoing {
+            method: "GET",
+            target: format!(
+                "/v2/stream?follow={}&wait_ms={}",
+                self.coordinator.follower.last(),
+                WAIT.as_millis()
+            ),
+            headers: Headers::new(),
+            body: Rc::from([]),
+            connect_timeout: OVERDUE,
+            streams: false,
+        };
+        let call = self.http.call(self.coordinator.address, request);
+        self.coordinator.call = Some((call, self.now() + WAIT + OVERDUE));
+    }
+
+    fn poll_failed(&mut self, why: &str) {
+        let failures = self.coordinator.failures;
+        self.coordinator.call = None;
+        self.coordinator.at = self.now() + (AGAIN * (1 << failures.min(5))).min(AGAIN_MOST);
+        self.coordinator.failures += 1;
+        tracing::debug!(why, failures, "a poll of the coordinator failed; the list stands");
+        if failures == 0 {
+            tracing::info!(why, "the coordinator cannot be followed; asking again");
+        }
+    }
+
+    fn is_poll(&self, call: CallId) -> bool {
+        self.coordinator.call.is_some_and(|(of, _)| of == call)
+    }
+
+    pub(super) fn told(&mut self, call: CallId, answer: &Response) {
+        if !self.is_poll(call) {
+            return;
+        }
+        if answer.status != 200 {
+            return self.poll_failed(&format!("status {}", answer.status));
+        }
+        let (zones, kinds) = (&self.config.settings.zones, &self.config.settings.kinds);
+        match self.coordinator.follower.read(&answer.body, zones, kinds) {
+            Ok(changes) => {
+                self.coordinator.call = None;
+                self.coordinator.at = self.now();
+                (self.coordinator.failures, self.coordinator.gaps) = (0, 0);
+                self.changes(changes);
+            }
+            Err(doubt) => self.doubted(&doubt),
+        }
+    }
+
+    pub(super) fn untold(&mut self, call: CallId, how: Failure) {
+        if self.is_poll(call) {
+            self.poll_failed(&format!("{how:?}"));
+        }
+    }
+
+    fn doubted(&mut self, doubt: &Doubt) {
+        if let Doubt::Gap { .. } = doubt {
+            self.coordinator.gaps += 1;
+            if self.coordinator.gaps >= GAPS_MOST {
+                self.coordinator.gaps = 0;
+                self.coordinator.follower.restart();
+            }
+        }
+        tracing::warn!(?doubt, "news of workers is not believed; the list stands");
+        self.poll_failed("its news is not believed");
+    }
+
+    /// Events that a configuration holds.
+    pub(super) fn news(&mut self, news: News) {
+        let (zones, kinds) = (&self.config.settings.zones, &self.config.settings.kinds);
+        match self.coordinator.follower.take(news, zones, kinds) {
+            Ok(changes) => self.changes(changes),
+            Err(doubt) => tracing::warn!(?doubt, "the workers that a configuration knows are not believed"),
+        }
+    }
+
+    /// Follows another coordinator from now on; numbers go on.
+    pub(super) fn follow(&mut self, address: SocketAddr, known: News) {
+        tracing::info!(%address, "a new configuration");
+        self.news(known);
+        if let Some((call, _)) = self.coordinator.call.take() {
+            self.http.cancel(call);
+        }
+        self.coordinator.address = address;
+        self.coordinator.at = self.now();
+        (self.coordinator.failures, self.coordinator.gaps) = (0, 0);
+    }
+
+    fn changes(&mut self, changes: Vec<Change>) {
+        for Change { all, workers } in changes {
+            if all {
+                let named = |uid: &str| workers.iter().any(|listed| listed.uid == uid);
+                let left: Vec<Rc<str>> = self.workers.keys().filter(|uid| !named(uid)).cloned().collect();
+                left.iter().for_each(|uid| self.worker_gone(uid));
+            }
+            for listed in &workers {
+                match (listed.state, listed.address) {
+                    (State::Up | State::Draining, Some(address)) => self.worker_listed(&listed.uid, address),
+                    (State::Gone, _) => self.worker_gone(&listed.uid),
+                    (State::Up | State::Draining, None) => {}
+                }
+            }
+            let entries = workers.iter().map(entry).collect();
+            self.desk.list(self.now(), if all { ListForm::Full } else { ListForm::Changes }, entries);
+            self.carry_out();
+        }
+    }
+}
+
+fn entry(listed: &Listed) -> Entry<'_> {
+    Entry {
+        worker: &listed.uid,
+        capacity_hint: listed.capacity_hint,
+        cell: listed.cell,
+        kind: listed.kind,
+        zone: listed.zone,
+        started: listed.started,
+        state: listed.state,
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -0,0 +1,254 @@
+//! A scheduler on the operators' platform: the same desk and module, with FastCGI in front, frames to workers, and
+//! the coordinator's events for a list. State of the event loop; [`run`] is how it is started.
+//!
+//! * `clients`: requests become jobs, final answers go back.
+//! * `workers`: lanes to workers, and the executions on them.
+//! * `coordinator`: one long poll that is always out.
+mod clients;
+mod coordinator;
+pub mod run;
+mod workers;
+
+use calloop::LoopHandle;
+use clients::Client;
+use coordinator::Coordinator;
+use quartzdrift_choice::interface::{JobId, ListForm};
+use quartzdrift_desk::{Desk, Output};
+use quartzdrift_http::links::{LinkId, Links};
+use quartzdrift_http::{HasHttp, Http, HttpEvent, Limits};
+use quartzdrift_platform::budget::Budget;
+use quartzdrift_platform::config::Config;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use workers::{Lane, Worker};
+
+/// The loop looks up at least this often.
+const LOOK_UP: Duration = Duration::from_secs(1);
+/// After SIGTERM clients go on coming for up to 0.6 s; the rest is room for a slow machine.
+const STAY: Duration = Duration::from_millis(1200);
+
+/// What a link is.
+pub(crate) enum Peer {
+    Client(Client),
+    Lane(Lane),
+}
+
+/// What is sent to workers for a job, and who waits for it; the desk carries it without looking.
+#[derive(Debug)]
+pub struct Work {
+    id: u64,
+    client: LinkId,
+    number: u16,
+    workload: u32,
+    body: Vec<u8>,
+}
+
+/// What the scheduler did since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub finished: u64,
+    pub pushed_back: u64,
+    pub killed: u64,
+    pub expired: u64,
+    /// Turned away at the door.
+    pub wrong: u64,
+    /// Client connections closed by us: out of step, too slow, or no room.
+    pub cut: u64,
+    pub executions: u64,
+    /// Lanes opened, and lanes lost with something open on them.
+    pub lanes: u64,
+    pub lanes_lost: u64,
+    /// Answers that could not be read, and those that nobody waited for.
+    pub unreadable: u64,
+    pub unasked: u64,
+}
+
+/// One scheduler on one event loop.
+pub struct Node {
+    config: Config,
+    path: std::path::PathBuf,
+    zero: Instant,
+    /// Time since 1970 at `zero`; the clock from there on is steady.
+    epoch: Duration,
+    links: Links<Node, Peer>,
+    http: Http<Node>,
+    desk: Desk<Rc<Work>>,
+    budget: Budget,
+    clients: usize,
+    /// Clients to be closed once their last words have left.
+    closing: Vec<LinkId>,
+    lanes: usize,
+    workers: HashMap<Rc<str>, Worker>,
+    executions: HashMap<(JobId, u32), LinkId>,
+    /// Open jobs by the id that their client gave.
+    open: HashMap<u64, JobId>,
+    /// The answer of the execution that is being ended.
+    in_hand: Option<Vec<u8>>,
+    coordinator: Coordinator,
+    stopping: Option<Duration>,
+    pub counts: Counts,
+}
+
+impl HasHttp for Node {
+    fn http(&mut self) -> &mut Http<Node> {
+        &mut self.http
+    }
+}
+
+impl Node {
+    /// A scheduler with the list of workers that its configuration knows. `path`: where a new one is read from.
+    pub fn new(config: Config, path: std::path::PathBuf, handle: LoopHandle<'static, Node>) -> Node {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let limits = Limits { connections: 0, connections_each: 4, ..Limits::default() };
+        let mut node = Node {
+            path,
+            zero: Instant::now(),
+            epoch,
+            links: Links::new(handle.clone(), |node| &mut node.links),
+            http: Http::new(handle, limits),
+            desk: Desk::new(&config.settings, config.seed),
+            budget: Budget::of(config.sockets),
+            clients: 0,
+            closing: Vec::new(),
+            lanes: 0,
+            workers: HashMap::new(),
+            executions: HashMap::new(),
+            open: HashMap::new(),
+            in_hand: None,
+            coordinator: Coordinator::new(config.coordinator),
+            stopping: None,
+            counts: Counts::default(),
+            config,
+        };
+        let known = node.config.known.clone();
+        node.desk.list(node.now(), ListForm::Saved, Vec::new());
+        node.news(known);
+        node.carry_out();
+        node
+    }
+
+    /// Time since 1970, steady.
+    pub fn now(&self) -> Duration {
+        self.epoch + self.zero.elapsed()
+    }
+
+    pub fn listen(&mut self, listener: std::net::TcpListener) -> std::io::Result<()> {
+        self.links.listen(listener)
+    }
+
+    /// How long the loop may sleep.
+    pub fn until_next(&self) -> Duration {
+        if self.http.has_events() {
+            return Duration::ZERO;
+        }
+        let now = self.now();
+        let stop = self.stopping.map(|since| since + STAY);
+        let own = [self.desk.next_due(), self.coordinator.next_due(), stop];
+        let own = own.into_iter().flatten().min().map(|at| at.saturating_sub(now));
+        let sockets = [self.links.next_due(), self.http.next_deadline()];
+        let sockets =
+            sockets.into_iter().flatten().min().map(|at| at.saturating_duration_since(Instant::now()));
+        own.into_iter().chain(sockets).min().unwrap_or(LOOK_UP).min(LOOK_UP)
+    }
+
+    /// Works what the last wait of the loop brought, and all that is due.
+    pub fn turn(&mut self) {
+        self.http.expire(Instant::now());
+        for event in self.http.take_events() {
+            match event {
+                HttpEvent::Answer { call, answer } => self.told(call, &answer),
+                HttpEvent::Failed { call, how } => self.untold(call, how),
+                // Nobody calls us over HTTP, and no answer is streamed.
+                HttpEvent::Request { .. }
+                | HttpEvent::Gone { .. }
+                | HttpEvent::Part { .. }
+                | HttpEvent::End { .. } => {}
+            }
+        }
+        self.accept();
+        for id in self.links.take_ready() {
+            match self.links.get(id).map(|link| &link.state) {
+                Some(Peer::Client(_)) => self.drive_client(id),
+                Some(Peer::Lane(_)) => self.drive_lane(id),
+                None => {}
+            }
+        }
+        for id in self.links.take_overdue(Instant::now()) {
+            match self.links.get(id).map(|link| &link.state) {
+                Some(Peer::Client(_)) => self.client_overdue(id),
+                Some(Peer::Lane(_)) => self.lane_overdue(id),
+                None => {}
+            }
+        }
+        let now = self.now();
+        if self.desk.next_due().is_some_and(|at| at <= now) {
+            self.desk.due(now);
+            self.carry_out();
+        }
+        self.coordinator_due(now);
+        self.links.flush();
+        self.close_served();
+    }
+
+    /// Does what the desk says, until it says no more.
+    fn carry_out(&mut self) {
+        loop {
+            let outputs = self.desk.outputs();
+            if outputs.is_empty() {
+                return;
+            }
+            for output in outputs {
+                self.output(output);
+            }
+        }
+    }
+
+    fn output(&mut self, output: Output<Rc<Work>>) {
+        match output {
+            Output::Execute { job, execution, worker, function, wait, payload } => {
+                self.execute(job, execution, &worker, function, wait, payload)
+            }
+            Output::Cancel { job, execution } => self.give_up(job, execution),
+            Output::Withdraw { job, execution } => self.withdraw(job, execution),
+            Output::Final { job, payload, answer } => self.final_answer(job, &payload, answer),
+            Output::CloseIdle { worker } => self.close_idle(&worker),
+            Output::Log { text } => tracing::info!(text, "decision"),
+            // The platform's list comes on its own, and its settings allow neither orders nor probes.
+            Output::Probe { order, .. } | Output::Load { order, .. } => {
+                let none = quartzdrift_choice::interface::Outcome::Moot;
+                self.desk.order_ended(self.now(), order, none, 0, Vec::new());
+            }
+            Output::WithdrawOrder { .. }
+            | Output::DropOrder { .. }
+            | Output::Unload { .. }
+            | Output::Tell { .. }
+            | Output::Watch { .. }
+            | Output::AskList => {}
+        }
+    }
+
+    /// SIGTERM: whoever still comes is served, and the process ends once all is answered.
+    pub fn stop(&mut self) {
+        if self.stopping.is_none() {
+            self.stopping = Some(self.now());
+            tracing::info!(open = self.desk.open(), "stopping: serving those that still come");
+        }
+    }
+
+    /// Whether a stop is complete.
+    pub fn stopped(&self) -> bool {
+        let stayed = self.stopping.is_some_and(|since| self.now() >= since + STAY);
+        stayed && self.desk.open() == 0 && !self.links.unsent()
+    }
+
+    /// SIGHUP: the new configuration's coordinator from the next poll on; all else goes on as it was.
+    pub fn reload(&mut self) {
+        let read = std::fs::read(&self.path).map_err(|e| e.to_string());
+        match read.and_then(|bytes| quartzdrift_platform::config::read(&bytes)) {
+            Ok(config) => self.follow(config.coordinator, config.known),
+            Err(why) => tracing::warn!(why, "the new configuration cannot be read; the old one stands"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift/src/platform/run.rs
@@ -0,0 +1,49 @@
+//! Starts a scheduler by the platform's configuration and runs it until it is told to stop.
+use super::Node;
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Names the configuration's file in the environment.
+pub const CONFIG: &str = "GW_CONFIG";
+
+/// SIGTERM, SIGINT and SIGHUP as events. To be made first of all, so that none of them ends the process.
+pub fn signals() -> io::Result<Signals> {
+    Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(io::Error::other)
+}
+
+/// The configuration's file as the platform names it.
+pub fn path() -> io::Result<PathBuf> {
+    let named = std::env::var_os(CONFIG).filter(|path| !path.is_empty());
+    named.map(PathBuf::from).ok_or_else(|| io::Error::other(format!("{CONFIG} names no configuration")))
+}
+
+/// Serves by the configuration at `path`; `ready` is given the address that is listened at.
+pub fn run(path: &Path, signals: Signals, ready: impl FnOnce(SocketAddr)) -> io::Result<()> {
+    let told = |what: &str| io::Error::other(format!("{}: {what}", path.display()));
+    let bytes = std::fs::read(path).map_err(|e| told(&e.to_string()))?;
+    let config = quartzdrift_platform::config::read(&bytes).map_err(|e| told(&e))?;
+    let mut event_loop = EventLoop::<Node>::try_new().map_err(io::Error::other)?;
+    let handle = event_loop.handle();
+    let signal = |event: calloop::signals::Event, _: &mut (), node: &mut Node| match event.signal() {
+        Signal::SIGHUP => node.reload(),
+        _ => node.stop(),
+    };
+    handle.insert_source(signals, signal).map_err(|e| io::Error::other(e.to_string()))?;
+    let (name, listen) = (config.name.clone(), config.listen);
+    let mut node = Node::new(config, path.to_owned(), handle);
+    let listener = quartzdrift_http::bind(listen, false)
+        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen at {listen}: {e}")))?;
+    let listen = listener.local_addr()?;
+    node.listen(listener)?;
+    tracing::info!(name, %listen, "listening");
+    ready(listen);
+    while !node.stopped() {
+        event_loop.dispatch(node.until_next(), &mut node).map_err(io::Error::other)?;
+        node.turn();
+    }
+    tracing::info!(counts = ?node.counts, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/quartzdrift/src/platform/workers.rs
@@ -0,0 +1,361 @@
+//! Lanes to workers and the executions on them. What each end proves is the table in
+//! `quartzdrift_platform::proof`; which lane carries an execution is chosen in `quartzdrift_platform::lanes`.
+use super::{Node, Peer, Work};
+use quartzdrift_choice::interface::{Found, JobId, Outcome};
+use quartzdrift_desk::Ended;
+use quartzdrift_http::links::{LinkId, Links};
+use quartzdrift_platform::frame::{self, Code};
+use quartzdrift_platform::lanes::{self, Choice};
+use quartzdrift_platform::proof::{self, Cut};
+use quartzdrift_platform::report;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Executions that a lane carries where the settings tell nothing.
+const STREAMS_UNTOLD: usize = 32;
+const CONNECT_UNTOLD: Duration = Duration::from_millis(250);
+const KEEPALIVE_UNTOLD: Duration = Duration::from_secs(10);
+/// Part of the workers' own idle time after which we close a lane ourselves: theirs never crosses a command.
+const KEEPALIVE_PART: f64 = 0.8;
+/// Lanes that a command may be lost on without having left; then the worker counts as unreachable.
+const LANES_MOST: u32 = 3;
+
+pub(super) struct Worker {
+    address: SocketAddr,
+    lanes: Vec<LinkId>,
+}
+
+/// An execution on a lane, with what is needed to send it again where it never left.
+struct Command {
+    job: JobId,
+    execution: u32,
+    function: Rc<str>,
+    until: Duration,
+    work: Rc<Work>,
+    /// Lanes that were lost under it.
+    lost: u32,
+    /// Where its frame lies in all that the lane sends; nothing while the lane is not up.
+    span: Option<(u64, u64)>,
+}
+
+pub(crate) struct Lane {
+    worker: Rc<str>,
+    up: bool,
+    commands: Vec<Command>,
+}
+
+fn lane(links: &mut Links<Node, Peer>, id: LinkId) -> Option<&mut Lane> {
+    match &mut links.get_mut(id)?.state {
+        Peer::Lane(lane) => Some(lane),
+        Peer::Client(_) => None,
+    }
+}
+
+impl Node {
+    pub(super) fn worker_listed(&mut self, uid: &str, address: SocketAddr) {
+        if self.workers.get(uid).is_some_and(|worker| worker.address != address) {
+            // What is out there goes on to its end; nothing new goes to the old address.
+            self.worker_gone(uid);
+        }
+        self.workers.entry(uid.into()).or_insert(Worker { address, lanes: Vec::new() });
+    }
+
+    pub(super) fn worker_gone(&mut self, uid: &str) {
+        let Some(worker) = self.workers.remove(uid) else { return };
+        worker.lanes.into_iter().for_each(|id| self.close_if_idle(id));
+    }
+
+    pub(super) fn close_idle(&mut self, worker: &str) {
+        let lanes = self.workers.get(worker).map(|worker| worker.lanes.clone()).unwrap_or_default();
+        lanes.into_iter().for_each(|id| self.close_if_idle(id));
+    }
+
+    fn close_if_idle(&mut self, id: LinkId) {
+        if lane(&mut self.links, id).is_some_and(|lane| lane.commands.is_empty()) {
+            self.close_lane(id);
+        }
+    }
+
+    /// Takes a lane out of all tables; what was on it is the caller's.
+    fn close_lane(&mut self, id: LinkId) -> Vec<Command> {
+        let Some(Peer::Lane(lane)) = self.links.close(id) else { return Vec::new() };
+        self.lanes -= 1;
+        if let Some(worker) = self.workers.get_mut(&lane.worker) {
+            worker.lanes.retain(|of| *of != id);
+        }
+        for command in &lane.commands {
+            self.executions.remove(&(command.job, command.execution));
+        }
+        lane.commands
+    }
+
+    pub(super) fn execute(
+        &mut self,
+        job: JobId,
+        execution: u32,
+        worker: &Rc<str>,
+        function: Rc<str>,
+        wait: Duration,
+        work: Rc<Work>,
+    ) {
+        self.counts.executions += 1;
+        tracing::trace!(job, execution, %worker, %function, "execution sent");
+        let until = self.now() + wait;
+        let command = Command { job, execution, function, until, work, lost: 0, span: None };
+        self.send(worker, command);
+    }
+
+    /// Puts a command on a lane of its worker.
+    fn send(&mut self, worker: &Rc<str>, mut command: Command) {
+        let Some(id) = self.lane_for(worker) else {
+            let (job, execution) = (command.job, command.execution);
+            let ended = Ended::silent(Outcome::ConnectFailed);
+            // Whoever carries out the desk's words hears of it next.
+            return self.desk.ended(self.now(), job, execution, ended);
+        };
+        self.executions.insert((command.job, command.execution), id);
+        let now = self.now();
+        let name = &self.config.settings.workloads[command.work.workload as usize].name;
+        let up = lane(&mut self.links, id).is_some_and(|lane| lane.up);
+        if up {
+            command.span = write_command(&mut self.links, id, name, &command, now);
+            self.links.set_deadline(id, None);
+        }
+        if let Some(lane) = lane(&mut self.links, id) {
+            lane.commands.push(command);
+        }
+    }
+
+    fn lane_for(&mut self, worker: &Rc<str>) -> Option<LinkId> {
+        let streams =
+            self.config.settings.allowed.streams_per_connection.map_or(STREAMS_UNTOLD, |n| n.max(1) as usize);
+        loop {
+            let of = self.workers.get(worker)?;
+            let (address, ids) = (of.address, of.lanes.clone());
+            let seen = |id: &LinkId| match self.links.get(*id).map(|link| &link.state) {
+                Some(Peer::Lane(lane)) => lanes::Lane { open: lane.commands.len(), up: lane.up },
+                Some(Peer::Client(_)) | None => lanes::Lane { open: usize::MAX, up: false },
+            };
+            let seen: Vec<lanes::Lane> = ids.iter().map(seen).collect();
+            let room = self.lanes < self.budget.workers || self.spare_lane(worker);
+            match lanes::choose(&seen, streams, room) {
+                Choice::Use(at) => {
+                    // One that the worker has closed meanwhile looks writable: what is sent there would be in doubt.
+                    if seen[at].open == 0 && seen[at].up {
+                        self.links.look(ids[at]);
+                        if self.links.get(ids[at]).is_none_or(|link| link.ended() || !link.input.is_empty()) {
+                            self.close_lane(ids[at]);
+                            continue;
+                        }
+                    }
+                    return Some(ids[at]);
+                }
+                Choice::Connect => {
+                    let lane = Lane { worker: worker.clone(), up: false, commands: Vec::new() };
+                    let id = self.links.connect(address, Peer::Lane(lane)).ok()?;
+                    self.lanes += 1;
+                    self.counts.lanes += 1;
+                    let timeout = self.config.settings.allowed.connect_timeout.unwrap_or(CONNECT_UNTOLD);
+                    self.links.set_deadline(id, Some(timeout));
+                    self.workers.get_mut(worker)?.lanes.push(id);
+                    return Some(id);
+                }
+                Choice::Full => return None,
+            }
+        }
+    }
+
+    /// With all descriptors of the workers' side in use: closes an idle lane of another worker.
+    fn spare_lane(&mut self, but: &Rc<str>) -> bool {
+        let idle = self.links.iter().find(|(_, link)| match &link.state {
+            Peer::Lane(lane) => lane.up && lane.commands.is_empty() && lane.worker != *but,
+            Peer::Client(_) => false,
+        });
+        let Some(id) = idle.map(|(id, _)| id) else { return false };
+        self.close_lane(id);
+        true
+    }
+
+    /// Tells the worker that nobody waits for an execution any more, or takes it back where it has not left.
+    pub(super) fn give_up(&mut self, job: JobId, execution: u32) {
+        if self.take_back(job, execution) {
+            return;
+        }
+        let Some(id) = self.executions.remove(&(job, execution)) else { return };
+        let Some(lane) = lane(&mut self.links, id) else { return };
+        let at = lane.commands.iter().position(|c| (c.job, c.execution) == (job, execution));
+        let Some(command) = at.map(|at| lane.commands.swap_remove(at)) else { return };
+        if let Some(output) = self.links.output(id) {
+            frame::write(output, frame::FROM_SCHEDULER, frame::GIVE_UP, command.work.id, b"", b"");
+        }
+        self.rest_lane(id);
+    }
+
+    /// Takes an execution off its lane if nothing of it has left.
+    fn take_back(&mut self, job: JobId, execution: u32) -> bool {
+        let Some(&id) = self.executions.get(&(job, execution)) else { return false };
+        let Some(link) = self.links.get_mut(id) else { return false };
+        let Peer::Lane(lane) = &link.state else { return false };
+        let Some(at) = lane.commands.iter().position(|c| (c.job, c.execution) == (job, execution)) else {
+            return false;
+        };
+        let span = lane.commands[at].span;
+        if span.is_some_and(|(from, to)| !link.take_back(from, to)) {
+            return false;
+        }
+        if let Peer::Lane(lane) = &mut link.state {
+            lane.commands.swap_remove(at);
+            for (from, to) in lane.commands.iter_mut().filter_map(|command| command.span.as_mut()) {
+                let taken = span.filter(|span| span.0 < *from).map_or(0, |span| span.1 - span.0);
+                (*from, *to) = (*from - taken, *to - taken);
+            }
+        }
+        self.executions.remove(&(job, execution));
+        self.rest_lane(id);
+        true
+    }
+
+    pub(super) fn withdraw(&mut self, job: JobId, execution: u32) {
+        if self.take_back(job, execution) {
+            self.desk.withdrawn(self.now(), job, execution);
+        }
+    }
+
+    /// A lane with nothing open on it is kept for a while, unless its worker has gone.
+    fn rest_lane(&mut self, id: LinkId) {
+        let Some(of) = lane(&mut self.links, id).filter(|lane| lane.up && lane.commands.is_empty()) else {
+            return;
+        };
+        let listed = self.workers.get(&of.worker).is_some_and(|worker| worker.lanes.contains(&id));
+        if !listed {
+            self.links.flush_one(id);
+            self.close_lane(id);
+            return;
+        }
+        let keep = self.config.settings.allowed.keepalive.unwrap_or(KEEPALIVE_UNTOLD);
+        self.links.set_deadline(id, Some(keep.mul_f64(KEEPALIVE_PART)));
+    }
+
+    pub(super) fn lane_overdue(&mut self, id: LinkId) {
+        match lane(&mut self.links, id).map(|lane| lane.up) {
+            Some(true) => self.close_if_idle(id),
+            Some(false) => self.lose_lane(id),
+            None => {}
+        }
+    }
+
+    /// A lane is of no further use: each execution on it ends by what that proves.
+    fn lose_lane(&mut self, id: LinkId) {
+        let Some(link) = self.links.get(id) else { return };
+        let left = link.left();
+        let Peer::Lane(lane) = &link.state else { return };
+        let (up, worker) = (lane.up, lane.worker.clone());
+        let commands = self.close_lane(id);
+        self.counts.lanes_lost += u64::from(!commands.is_empty());
+        for mut command in commands {
+            let how = match command.span {
+                _ if !up => Cut::NotConnected,
+                Some((_, to)) if to <= left => Cut::Sent,
+                Some(_) | None => Cut::Unsent,
+            };
+            command.lost += 1;
+            if how == Cut::Unsent && command.lost < LANES_MOST && self.workers.contains_key(&worker) {
+                command.span = None;
+                self.send(&worker, command);
+                continue;
+            }
+            tracing::debug!(job = command.job, %worker, ?how, "lane lost under an execution");
+            let ended = Ended::silent(proof::cut(how));
+            self.desk.ended(self.now(), command.job, command.execution, ended);
+        }
+        self.carry_out();
+    }
+
+    pub(super) fn drive_lane(&mut self, id: LinkId) {
+        let Some(of) = lane(&mut self.links, id) else { return };
+        if !of.up {
+            match self.links.connected(id) {
+                Some(Ok(())) => self.lane_up(id),
+                Some(Err(())) => return self.lose_lane(id),
+                None => return,
+            }
+        }
+        self.links.flush_one(id);
+        self.links.read(id);
+        self.answers(id);
+    }
+
+    fn lane_up(&mut self, id: LinkId) {
+        self.links.set_deadline(id, None);
+        let now = self.now();
+        let Some(of) = lane(&mut self.links, id) else { return };
+        of.up = true;
+        let mut commands = std::mem::take(&mut of.commands);
+        for command in &mut commands {
+            let name = &self.config.settings.workloads[command.work.workload as usize].name;
+            command.span = write_command(&mut self.links, id, name, command, now);
+        }
+        if let Some(of) = lane(&mut self.links, id) {
+            of.commands = commands;
+        }
+        self.rest_lane(id);
+    }
+
+    /// Reads all answers that are whole.
+    fn answers(&mut self, id: LinkId) {
+        let mut ended = Vec::new();
+        let Some(link) = self.links.get_mut(id) else { return };
+        let Peer::Lane(of) = &mut link.state else { return };
+        let mut used = 0;
+        let unreadable = loop {
+            let answer = match frame::read(&link.input[used..]) {
+                Ok(Some(answer)) => answer,
+                Ok(None) => break None,
+                Err(why) => break Some(why),
+            };
+            used += answer.length;
+            let Some(outcome) = proof::answered(answer.code) else { continue };
+            let Some(at) = of.commands.iter().position(|c| c.work.id == answer.id) else {
+                // A second copy, one under an unknown id, or one that was given up meanwhile.
+                self.counts.unasked += 1;
+                continue;
+            };
+            let command = of.commands.swap_remove(at);
+            let report = report::read(answer.fields, &self.config.report_names);
+            let body = (answer.code == Code::Done).then(|| answer.body.to_vec());
+            ended.push((command, Ended { outcome, found: Found::Untold, crowd: None, report }, body));
+        };
+        link.consume(used);
+        let over = link.ended() || unreadable.is_some();
+        for (command, end, body) in ended {
+            self.executions.remove(&(command.job, command.execution));
+            tracing::trace!(job = command.job, execution = command.execution, outcome = ?end.outcome, "ended");
+            self.in_hand = body;
+            self.desk.ended(self.now(), command.job, command.execution, end);
+            self.carry_out();
+            self.in_hand = None;
+        }
+        if let Some(why) = unreadable {
+            self.counts.unreadable += 1;
+            tracing::debug!(?why, "an answer cannot be read");
+        }
+        if over { self.lose_lane(id) } else { self.rest_lane(id) }
+    }
+}
+
+/// Writes a command and returns where its frame lies in all that the lane sends.
+fn write_command(
+    links: &mut Links<Node, Peer>,
+    id: LinkId,
+    workload: &str,
+    command: &Command,
+    now: Duration,
+) -> Option<(u64, u64)> {
+    let from = links.get(id)?.end();
+    let left = command.until.saturating_sub(now).as_millis().max(1);
+    let fields = format!("profile={workload},thing={},max={left}", command.function);
+    let (code, work) = (frame::EXECUTE, &command.work);
+    frame::write(links.output(id)?, frame::FROM_SCHEDULER, code, work.id, fields.as_bytes(), &work.body);
+    Some((from, links.get(id)?.end()))
+}
