--- a/crates/quartzdrift-http/src/conn.rs
+++ b/crates/quartzdrift-http/src/conn.rs
@@ -2,14 +2,7 @@
 use crate::body::BodyReader;
 use crate::head::{Headers, ResponseHead};
 use crate::http::{CallId, Outgoing};
-use calloop::RegistrationToken;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
-use std::time::Instant;
-
-/// Bytes read at once; also how much is read ahead of an answer on a connection, then reading stops.
-pub(crate) const READ_STEP: usize = 64 << 10;
+use std::net::SocketAddr;
 
 /// Why bytes from a client are no request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,6 +68,8 @@
     pub state: ClientState,
     /// Kept until the first byte left, to be sent on another connection if this one had been closed.
     pub request: Option<Outgoing>,
+    /// Where that request begins in all that the link sends.
+    pub from: u64,
     pub streams: bool,
 }
 
@@ -86,99 +81,14 @@
     Idle,
 }
 
+/// What HTTP knows of a link.
 #[derive(Debug)]
 pub(crate) struct Conn {
-    pub stream: Rc<TcpStream>,
-    pub token: Option<RegistrationToken>,
-    /// Guards a place used again against news for its last user.
-    pub serial: u64,
     /// Requests answered on it: guards against an answer that comes twice.
     pub turn: u64,
-    pub readable: bool,
-    pub ended: bool,
-    pub input: Vec<u8>,
-    pub output: Vec<u8>,
-    pub written: usize,
-    pub deadline: Option<Instant>,
     pub side: Side,
 }
 
-pub(crate) enum Flushed {
-    All,
-    Some,
-    Broken,
-}
-
-impl Conn {
-    pub fn new(stream: Rc<TcpStream>, serial: u64, side: Side) -> Conn {
-        Conn {
-            stream,
-            token: None,
-            serial,
-            turn: 0,
-            readable: false,
-            ended: false,
-            input: Vec::new(),
-            output: Vec::new(),
-            written: 0,
-            deadline: None,
-            side,
-        }
-    }
-
-    /// Writes what waits, as far as the socket takes it.
-    pub fn flush(&mut self) -> Flushed {
-        while self.written < self.output.len() {
-            match (&*self.stream).write(&self.output[self.written..]) {
-                Ok(0) => return Flushed::Broken,
-                Ok(n) => self.written += n,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Flushed::Some,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Flushed::Broken,
-            }
-        }
-        self.output.clear();
-        self.written = 0;
-        // A connection that once carried a large answer does not hold its memory for good.
-        self.output.shrink_to(READ_STEP);
-        Flushed::All
-    }
-
-    /// Reads once into `scratch` and appends; `false` once nothing more is there for now.
-    pub fn read_once(&mut self, scratch: &mut [u8]) -> bool {
-        loop {
-            match (&*self.stream).read(scratch) {
-                Ok(0) => {
-                    self.ended = true;
-                    self.readable = false;
-                    return false;
-                }
-                Ok(n) => {
-                    self.input.extend_from_slice(&scratch[..n]);
-                    return true;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.readable = false;
-                    return false;
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.ended = true;
-                    self.readable = false;
-                    return false;
-                }
-            }
-        }
-    }
-
-    pub fn consume(&mut self, bytes: usize) {
-        self.input.drain(..bytes);
-        if self.input.is_empty() {
-            self.input.shrink_to(READ_STEP);
-        }
-    }
-}
-
 /// A chunk as sent in a streamed answer.
 pub(crate) fn chunk(out: &mut Vec<u8>, bytes: &[u8]) {
     out.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
--- a/crates/quartzdrift-http/src/http.rs
+++ b/crates/quartzdrift-http/src/http.rs
@@ -3,20 +3,14 @@
 use crate::body::{BodyError, BodyReader};
 use crate::conn::*;
 use crate::head::{self, Framing, HeadError, Headers, RequestHead, ResponseHead};
-use crate::links::connect;
-use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness};
-use slab::Slab;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use crate::links::{Link, LinkId, Links, READ_STEP};
+use calloop::LoopHandle;
+use std::collections::{HashMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Connections taken in one turn of the loop, so that a flood of them leaves room for the work.
-const ACCEPT_MOST: usize = 64;
-/// After the process ran out of descriptors: one may be free again.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Connections that the system queues until they are taken.
 const BACKLOG: i32 = 1024;
 /// How long bytes after an early answer are still read and thrown away.
@@ -30,8 +24,7 @@
 /// A client's request that waits for our answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Exchange {
-    conn: usize,
-    serial: u64,
+    conn: LinkId,
     turn: u64,
 }
 
@@ -97,86 +90,64 @@
 
 #[derive(Default)]
 struct Servers {
-    idle: Vec<usize>,
+    idle: Vec<LinkId>,
     open: usize,
 }
 
 pub struct Http<S: HasHttp> {
-    handle: LoopHandle<'static, S>,
     limits: Limits,
-    conns: Slab<Conn>,
-    listeners: Vec<(Rc<TcpListener>, calloop::RegistrationToken)>,
+    links: Links<S, Conn>,
     servers: HashMap<SocketAddr, Servers>,
-    calls: HashMap<CallId, usize>,
-    deadlines: BTreeSet<(Instant, usize)>,
+    calls: HashMap<CallId, LinkId>,
     events: VecDeque<HttpEvent>,
-    scratch: Vec<u8>,
     clients: usize,
     serial: u64,
-    accept_again: Option<Instant>,
     opened: u64,
 }
 
 impl<S: HasHttp> Http<S> {
     pub fn new(handle: LoopHandle<'static, S>, limits: Limits) -> Http<S> {
         Http {
-            handle,
             limits,
-            conns: Slab::new(),
-            listeners: Vec::new(),
+            links: Links::new(handle, |state| &mut state.http().links),
             servers: HashMap::new(),
             calls: HashMap::new(),
-            deadlines: BTreeSet::new(),
             events: VecDeque::new(),
-            scratch: vec![0; READ_STEP],
             clients: 0,
             serial: 0,
-            accept_again: None,
             opened: 0,
         }
     }
 
     /// Takes connections from `listener` from now on.
     pub fn listen(&mut self, listener: TcpListener) -> io::Result<()> {
-        listener.set_nonblocking(true)?;
-        let listener = Rc::new(listener);
-        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-        let at = self.listeners.len();
-        let accept = move |_: Readiness, _: &mut _, state: &mut S| {
-            state.http().accept(at);
-            Ok(PostAction::Continue)
-        };
-        let token = self.handle.insert_source(source, accept).map_err(|e| io::Error::other(e.to_string()))?;
-        self.listeners.push((listener, token));
-        Ok(())
+        self.links.listen(listener)
     }
 
     /// Takes no more connections. Those that are there go on.
     pub fn stop_listening(&mut self) {
         // Those that wait to be taken would be cut off with the listener.
-        (0..self.listeners.len()).for_each(|at| self.accept(at));
-        for (_, token) in self.listeners.drain(..) {
-            self.handle.remove(token);
-        }
+        self.links.look_for_connections();
+        self.accept();
+        self.links.stop_listening();
     }
 
     /// Whether bytes wait to be written to clients.
     pub fn unsent(&self) -> bool {
-        let waits = |conn: &Conn| matches!(conn.side, Side::Server(_)) && !conn.output.is_empty();
-        self.conns.iter().any(|(_, conn)| waits(conn))
+        self.links.iter().any(|(_, link)| matches!(link.state.side, Side::Server(_)) && link.waiting() > 0)
     }
 
     /// Whether not a byte of a call has left; then taking it back proves that it never ran.
     pub fn unsent_call(&self, call: CallId) -> bool {
-        let conn = self.calls.get(&call).and_then(|&key| self.conns.get(key));
-        conn.is_some_and(|conn| matches!(&conn.side, Side::Client(client) if client.request.is_some()))
+        let link = self.calls.get(&call).and_then(|&id| self.links.get(id));
+        link.is_some_and(|link| matches!(&link.state.side, Side::Client(client) if client.request.is_some()))
     }
 
     /// Closes every connection and takes no more, as a process does that is killed.
     pub fn close_all(&mut self) {
         self.stop_listening();
-        let keys: Vec<usize> = self.conns.iter().map(|(key, _)| key).collect();
-        keys.into_iter().for_each(|key| self.close(key));
+        let all: Vec<LinkId> = self.links.iter().map(|(id, _)| id).collect();
+        all.into_iter().for_each(|id| self.close(id));
         self.events.clear();
     }
 
@@ -190,44 +161,48 @@
         self.opened
     }
 
+    /// What happened, in the order in which it was seen; to be taken after every turn of the loop.
     pub fn take_events(&mut self) -> VecDeque<HttpEvent> {
+        self.work();
         std::mem::take(&mut self.events)
     }
 
     pub fn has_events(&self) -> bool {
-        !self.events.is_empty()
+        !self.events.is_empty() || self.links.is_ready()
+    }
+
+    /// Works what the last turn of the loop brought.
+    fn work(&mut self) {
+        self.accept();
+        for id in self.links.take_ready() {
+            match self.links.get(id).map(|link| &link.state.side) {
+                Some(Side::Server(_)) => self.drive_server(id),
+                Some(Side::Client(_)) => self.drive_client(id),
+                None => {}
+            }
+        }
+        self.links.flush();
     }
 
     /// When [`Http::expire`] has something to do.
     pub fn next_deadline(&self) -> Option<Instant> {
-        let first = self.deadlines.first().map(|(at, _)| *at);
-        [first, self.accept_again].into_iter().flatten().min()
+        self.links.next_due()
     }
 
-    /// Closes what is overdue.
+    /// Closes what is overdue, after all that came in time.
     pub fn expire(&mut self, now: Instant) {
-        if self.accept_again.take_if(|at| *at <= now).is_some() {
-            for (_, token) in &self.listeners {
-                // An error here means that the loop itself is broken; the next turn will show it.
-                let _ = self.handle.enable(token);
-            }
-        }
-        while let Some(&(at, key)) = self.deadlines.first() {
-            if at > now {
-                break;
-            }
-            self.deadlines.pop_first();
-            let Some(conn) = self.conns.get_mut(key) else { continue };
-            conn.deadline = None;
-            match &mut conn.side {
-                Side::Server(ServerState::Head { .. }) if conn.input.is_empty() => self.close(key),
+        self.work();
+        for id in self.links.take_overdue(now) {
+            let Some(link) = self.links.get(id) else { continue };
+            match &link.state.side {
+                Side::Server(ServerState::Head { .. }) if link.input.is_empty() => self.close(id),
                 Side::Server(ServerState::Head { .. } | ServerState::Body { .. }) => {
-                    self.bad(key, BadRequest::TooSlow)
+                    self.bad(id, BadRequest::TooSlow)
                 }
-                Side::Server(_) => self.lost(key),
+                Side::Server(_) => self.lost(id),
                 Side::Client(client) => match client.state {
-                    ClientState::Connecting => self.fail(key, Failure::Connect),
-                    ClientState::Idle => self.close(key),
+                    ClientState::Connecting => self.fail(id, Failure::Connect),
+                    ClientState::Idle => self.close(id),
                     // Calls are ended by their owner.
                     ClientState::Head { .. } | ClientState::Body { .. } => {}
                 },
@@ -235,263 +210,198 @@
         }
     }
 
-    fn set_deadline(&mut self, key: usize, after: Option<Duration>) {
-        let conn = &mut self.conns[key];
-        if let Some(at) = conn.deadline.take() {
-            self.deadlines.remove(&(at, key));
-        }
-        if let Some(after) = after {
-            let at = Instant::now() + after;
-            conn.deadline = Some(at);
-            self.deadlines.insert((at, key));
-        }
-    }
-
-    fn insert(&mut self, stream: TcpStream, side: Side) -> io::Result<usize> {
-        stream.set_nodelay(true)?;
-        let stream = Rc::new(stream);
-        self.serial += 1;
-        let key = self.conns.insert(Conn::new(stream.clone(), self.serial, side));
-        let serial = self.serial;
-        let source = Generic::new(stream, Interest::BOTH, Mode::Edge);
-        let ready = move |ready: Readiness, _: &mut _, state: &mut S| {
-            state.http().ready(key, serial, ready);
-            Ok(PostAction::Continue)
+    fn accept(&mut self) {
+        let room = |links: &mut Links<S, Conn>| {
+            if let Some(id) = longest_idle(links) {
+                links.set_deadline(id, Some(Duration::ZERO));
+            }
         };
-        match self.handle.insert_source(source, ready) {
-            Ok(token) => {
-                self.conns[key].token = Some(token);
-                Ok(key)
+        for stream in self.links.accept(room) {
+            if self.clients >= self.limits.connections {
+                // Makes room; where none is idle the newcomer is closed unread: it may try again elsewhere.
+                let Some(idle) = longest_idle(&self.links) else { continue };
+                self.close(idle);
             }
-            Err(e) => {
-                self.conns.remove(key);
-                Err(io::Error::other(e.to_string()))
+            let side = Side::Server(ServerState::Head { scanned: 0 });
+            if let Ok(id) = self.links.insert(stream, Conn { turn: 0, side }) {
+                self.clients += 1;
+                self.links.set_deadline(id, Some(self.limits.idle));
             }
         }
     }
 
-    fn accept(&mut self, at: usize) {
-        for _ in 0..ACCEPT_MOST {
-            let Some((listener, _)) = self.listeners.get(at) else { return };
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    if self.clients >= self.limits.connections && !self.evict() {
-                        // Closed unread: a client may try again elsewhere.
-                        continue;
-                    }
-                    let taken = stream.set_nonblocking(true);
-                    let side = Side::Server(ServerState::Head { scanned: 0 });
-                    if let Ok(key) = taken.and_then(|()| self.insert(stream, side)) {
-                        self.clients += 1;
-                        self.set_deadline(key, Some(self.limits.idle));
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(_) => {
-                    // Out of descriptors or memory: a level-triggered listener would spin.
-                    self.evict();
-                    for (_, token) in &self.listeners {
-                        let _ = self.handle.disable(token);
-                    }
-                    self.accept_again = Some(Instant::now() + ACCEPT_PAUSE);
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Makes room: closes the client that has sent nothing for longest. `false` where none is idle.
-    fn evict(&mut self) -> bool {
-        let idle = self.deadlines.iter().find(|(_, key)| {
-            let conn = &self.conns[*key];
-            matches!(conn.side, Side::Server(ServerState::Head { .. })) && conn.input.is_empty()
-        });
-        let Some(&(_, key)) = idle else { return false };
-        self.close(key);
-        true
-    }
-
-    fn close(&mut self, key: usize) {
-        self.set_deadline(key, None);
-        let conn = self.conns.remove(key);
-        if let Some(token) = conn.token {
-            self.handle.remove(token);
-        }
-        match conn.side {
-            Side::Server(_) => self.clients -= 1,
-            Side::Client(client) => {
+    fn close(&mut self, id: LinkId) {
+        match self.links.close(id).map(|conn| conn.side) {
+            Some(Side::Server(_)) => self.clients -= 1,
+            Some(Side::Client(client)) => {
                 if let Some(call) = client.call {
                     self.calls.remove(&call);
                 }
                 if let Some(servers) = self.servers.get_mut(&client.to) {
                     servers.open -= 1;
-                    servers.idle.retain(|&k| k != key);
+                    servers.idle.retain(|&of| of != id);
                     if servers.open == 0 {
                         self.servers.remove(&client.to);
                     }
                 }
             }
+            None => {}
         }
-        // The socket closes with the last reference, which `remove` and this drop.
-        let _ = conn.stream.shutdown(std::net::Shutdown::Both);
     }
 
-    fn ready(&mut self, key: usize, serial: u64, ready: Readiness) {
-        let Some(conn) = self.conns.get_mut(key).filter(|c| c.serial == serial) else { return };
-        conn.readable |= ready.readable || ready.error;
-        match &conn.side {
-            Side::Server(_) => self.drive_server(key),
-            Side::Client(_) => self.drive_client(key),
+    /// Writes at the end of what waits on a link.
+    fn write(&mut self, id: LinkId, write: impl FnOnce(&mut Vec<u8>)) {
+        if let Some(output) = self.links.output(id) {
+            write(output);
         }
     }
 
     // --- Server side ---
 
     /// A client that left, or takes nothing of its answer.
-    fn lost(&mut self, key: usize) {
-        let conn = &self.conns[key];
-        let owed =
-            matches!(conn.side, Side::Server(ServerState::Waiting { .. } | ServerState::Streaming { .. }));
-        if owed {
-            let exchange = Exchange { conn: key, serial: conn.serial, turn: conn.turn };
-            self.events.push_back(HttpEvent::Gone { exchange });
+    fn lost(&mut self, id: LinkId) {
+        let Some(link) = self.links.get(id) else { return };
+        let Conn { turn, side } = &link.state;
+        if matches!(side, Side::Server(ServerState::Waiting { .. } | ServerState::Streaming { .. })) {
+            self.events.push_back(HttpEvent::Gone { exchange: Exchange { conn: id, turn: *turn } });
         }
-        self.close(key);
+        self.close(id);
     }
 
-    fn bad(&mut self, key: usize, why: BadRequest) {
-        self.set_deadline(key, None);
-        let conn = &mut self.conns[key];
+    fn bad(&mut self, id: LinkId, why: BadRequest) {
+        self.links.set_deadline(id, None);
+        let Some(link) = self.links.get_mut(id) else { return };
         // Where its next request begins is not known: the connection ends with this answer.
-        conn.side = Side::Server(ServerState::Waiting { keep_alive: false, bodiless: false, old: false });
-        conn.input.clear();
-        let exchange = Exchange { conn: key, serial: conn.serial, turn: conn.turn };
+        link.state.side =
+            Side::Server(ServerState::Waiting { keep_alive: false, bodiless: false, old: false });
+        link.input.clear();
+        let exchange = Exchange { conn: id, turn: link.state.turn };
         self.events.push_back(HttpEvent::Request { exchange, request: Err(why) });
     }
 
-    fn drive_server(&mut self, key: usize) {
-        loop {
-            let Some(conn) = self.conns.get_mut(key) else { return };
-            if !conn.output.is_empty() {
-                match conn.flush() {
-                    Flushed::All => {
-                        if matches!(conn.side, Side::Server(ServerState::Lingering)) {
-                            let _ = conn.stream.shutdown(std::net::Shutdown::Write);
-                            self.set_deadline(key, Some(LINGER));
-                        } else if matches!(conn.side, Side::Server(ServerState::Head { .. })) {
-                            self.set_deadline(key, Some(self.limits.idle));
-                        } else if matches!(conn.side, Side::Server(ServerState::Streaming { .. })) {
-                            self.set_deadline(key, None);
-                        }
-                    }
-                    Flushed::Some => return,
-                    Flushed::Broken => return self.lost(key),
-                }
-            }
-            if !self.parse_request(key) {
-                return;
+    /// Writes what waits for a client; `false` where more of it waits than the system takes, or it is gone.
+    fn flush_server(&mut self, id: LinkId) -> bool {
+        let Some(waited) = self.links.get(id).map(|link| link.waiting() > 0) else { return false };
+        if !waited {
+            return true;
+        }
+        self.links.flush_one(id);
+        let Some(link) = self.links.get(id) else { return false };
+        if link.is_broken() {
+            self.lost(id);
+            return false;
+        }
+        if link.waiting() > 0 {
+            return false;
+        }
+        match &link.state.side {
+            Side::Server(ServerState::Lingering) => {
+                link.finish();
+                self.links.set_deadline(id, Some(LINGER));
             }
-            let Some(conn) = self.conns.get_mut(key) else { return };
-            let waits = matches!(
-                conn.side,
-                Side::Server(ServerState::Waiting { .. } | ServerState::Streaming { .. })
-            );
-            if waits && conn.input.len() >= READ_STEP {
+            Side::Server(ServerState::Head { .. }) => self.links.set_deadline(id, Some(self.limits.idle)),
+            Side::Server(ServerState::Streaming { .. }) => self.links.set_deadline(id, None),
+            Side::Server(_) | Side::Client(_) => {}
+        }
+        true
+    }
+
+    /// Writes, reads a bounded piece, and works what has come; what is left keeps the link ready.
+    fn drive_server(&mut self, id: LinkId) {
+        let mut read = false;
+        while self.flush_server(id) && self.parse_request(id) {
+            let Some(link) = self.links.get_mut(id) else { return };
+            let Side::Server(state) = &link.state.side else { return };
+            let waits = matches!(state, ServerState::Waiting { .. } | ServerState::Streaming { .. });
+            if waits && link.input.len() >= READ_STEP {
                 return;
             }
-            let more = conn.readable && conn.read_once(&mut self.scratch);
-            if matches!(conn.side, Side::Server(ServerState::Lingering)) {
-                conn.input.clear();
+            if matches!(state, ServerState::Lingering) {
+                link.input.clear();
             }
-            if !more {
+            if link.ended() {
                 // The end of what it sends is the end of a client: nobody reads an answer any more.
-                if conn.ended {
-                    self.lost(key);
-                }
+                return self.lost(id);
+            }
+            if std::mem::replace(&mut read, true) {
                 return;
             }
+            self.links.read(id);
         }
     }
 
-    /// Reads on in what came; `false` once the connection is closed or its request is bad.
-    fn parse_request(&mut self, key: usize) -> bool {
+    /// Reads on in what came; `false` once the connection is closed.
+    fn parse_request(&mut self, id: LinkId) -> bool {
         loop {
-            let conn = &mut self.conns[key];
-            let Side::Server(state) = &mut conn.side else { return false };
+            let Some(link) = self.links.get_mut(id) else { return false };
+            let Conn { side: Side::Server(state), turn } = &mut link.state else { return false };
             match state {
                 ServerState::Waiting { .. } | ServerState::Streaming { .. } | ServerState::Lingering => {
                     return true;
                 }
                 ServerState::Head { scanned } => {
-                    if conn.input.is_empty() {
+                    if link.input.is_empty() {
                         return true;
                     }
                     let first = *scanned == 0;
-                    let end = head::head_end(&conn.input, scanned);
-                    if end.unwrap_or(conn.input.len()) > self.limits.head {
-                        self.bad(key, BadRequest::HeadTooLarge);
+                    let end = head::head_end(&link.input, scanned);
+                    if end.unwrap_or(link.input.len()) > self.limits.head {
+                        self.bad(id, BadRequest::HeadTooLarge);
                         return true;
                     }
                     let Some(end) = end else {
                         // The clock runs from the first byte, however slowly more of them come.
                         if first {
-                            self.set_deadline(key, Some(self.limits.receive));
+                            self.links.set_deadline(id, Some(self.limits.receive));
                         }
                         return true;
                     };
-                    let head = match head::request(&conn.input[..end]) {
+                    let head = match head::request(&link.input[..end]) {
                         Ok(head) => head,
                         Err(e) => {
-                            self.bad(key, bad_head(e));
+                            self.bad(id, bad_head(e));
                             return true;
                         }
                     };
-                    conn.consume(end);
-                    match BodyReader::new(head.framing, self.limits.request_body) {
-                        Ok(reader) => {
-                            if head.expects_continue && !reader.done() && conn.input.is_empty() {
-                                conn.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-                                if let Flushed::Broken = conn.flush() {
-                                    self.lost(key);
-                                    return false;
-                                }
-                            }
-                            let conn = &mut self.conns[key];
-                            conn.side = Side::Server(ServerState::Body { head, reader });
-                            self.set_deadline(key, Some(self.limits.receive));
-                        }
+                    link.consume(end);
+                    let reader = match BodyReader::new(head.framing, self.limits.request_body) {
+                        Ok(reader) => reader,
                         Err(e) => {
-                            self.bad(key, bad_body(e));
+                            self.bad(id, bad_body(e));
                             return true;
                         }
+                    };
+                    let expected = head.expects_continue && !reader.done() && link.input.is_empty();
+                    link.state.side = Side::Server(ServerState::Body { head, reader });
+                    self.links.set_deadline(id, Some(self.limits.receive));
+                    if expected {
+                        self.write(id, |out| out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n"));
+                        self.links.flush_one(id);
                     }
                 }
                 ServerState::Body { head, reader } => {
-                    let used = match reader.feed(&conn.input) {
+                    let used = match reader.feed(&link.input) {
                         Ok(used) => used,
                         Err(e) => {
-                            self.bad(key, bad_body(e));
+                            self.bad(id, bad_body(e));
                             return true;
                         }
                     };
-                    let whole = reader.done();
-                    if whole {
-                        let (keep_alive, bodiless, old) = (head.keep_alive, head.method == "HEAD", head.old);
-                        let waiting = Side::Server(ServerState::Waiting { keep_alive, bodiless, old });
-                        let request = std::mem::replace(&mut conn.side, waiting);
-                        if let Side::Server(ServerState::Body { head, reader }) = request {
-                            let exchange = Exchange { conn: key, serial: conn.serial, turn: conn.turn };
-                            let (from, at) = (conn.stream.peer_addr().ok(), conn.stream.local_addr().ok());
-                            let request = Ok(Request { head, body: reader.bytes, from, at });
-                            self.events.push_back(HttpEvent::Request { exchange, request });
-                        }
+                    if !reader.done() {
+                        link.consume(used);
+                        return true;
                     }
-                    conn.consume(used);
-                    if whole {
-                        self.set_deadline(key, None);
+                    let (keep_alive, bodiless, old) = (head.keep_alive, head.method == "HEAD", head.old);
+                    let exchange = Exchange { conn: id, turn: *turn };
+                    let waiting = Side::Server(ServerState::Waiting { keep_alive, bodiless, old });
+                    let request = std::mem::replace(&mut link.state.side, waiting);
+                    let (from, at) = (link.peer(), link.local());
+                    link.consume(used);
+                    if let Side::Server(ServerState::Body { head, reader }) = request {
+                        let request = Ok(Request { head, body: reader.bytes, from, at });
+                        self.events.push_back(HttpEvent::Request { exchange, request });
                     }
+                    self.links.set_deadline(id, None);
                     return true;
                 }
             }
@@ -500,8 +410,8 @@
 
     /// Answers a request; of one that is gone nothing is sent.
     pub fn answer(&mut self, exchange: Exchange, answer: &Response) {
-        let Some(conn) = self.waiting(exchange) else { return };
-        let Side::Server(ServerState::Waiting { keep_alive, bodiless, .. }) = conn.side else { return };
+        let Some(link) = self.waiting(exchange) else { return };
+        let Side::Server(ServerState::Waiting { keep_alive, bodiless, .. }) = link.state.side else { return };
         let closes = answer.headers.get("connection").is_some_and(|told| told.eq_ignore_ascii_case("close"));
         let keep_alive = keep_alive && !closes;
         let headers = without_framing(&answer.headers);
@@ -509,44 +419,40 @@
             204 => Framing::None,
             _ => Framing::Length(answer.body.len() as u64),
         };
-        head::write_response(&mut conn.output, answer.status, &headers, framing, keep_alive);
-        if !bodiless && answer.status != 204 {
-            conn.output.extend_from_slice(&answer.body);
-        }
+        self.write(exchange.conn, |out| {
+            head::write_response(out, answer.status, &headers, framing, keep_alive);
+            if !bodiless && answer.status != 204 {
+                out.extend_from_slice(&answer.body);
+            }
+        });
         self.next_request(exchange.conn, keep_alive);
     }
 
     /// Begins an answer whose length is not known yet; its parts follow by [`Http::push`].
     pub fn begin(&mut self, exchange: Exchange, status: u16, headers: &Headers) {
-        let Some(conn) = self.waiting(exchange) else { return };
-        let Side::Server(ServerState::Waiting { keep_alive, old, .. }) = conn.side else { return };
+        let Some(link) = self.waiting(exchange) else { return };
+        let Side::Server(ServerState::Waiting { keep_alive, old, .. }) = link.state.side else { return };
+        link.state.side = Side::Server(ServerState::Streaming { keep_alive, old });
         let framing = if old { Framing::UntilClose } else { Framing::Chunked };
-        head::write_response(
-            &mut conn.output,
-            status,
-            &without_framing(headers),
-            framing,
-            keep_alive && !old,
-        );
-        conn.side = Side::Server(ServerState::Streaming { keep_alive, old });
+        let (headers, keep_alive) = (without_framing(headers), keep_alive && !old);
+        self.write(exchange.conn, |out| head::write_response(out, status, &headers, framing, keep_alive));
         self.drive_server(exchange.conn);
     }
 
     /// A part of a begun answer. `false` once the client is gone or more than `most` bytes wait for it.
     pub fn push(&mut self, exchange: Exchange, bytes: &[u8], most: usize) -> bool {
-        let send = self.limits.send;
-        let Some(conn) = self.waiting(exchange) else { return false };
-        let Side::Server(ServerState::Streaming { old, .. }) = conn.side else { return false };
-        if conn.output.len() - conn.written + bytes.len() > most {
+        let Some(link) = self.waiting(exchange) else { return false };
+        let Side::Server(ServerState::Streaming { old, .. }) = link.state.side else { return false };
+        if link.waiting() + bytes.len() > most {
             return false;
         }
-        if old {
-            conn.output.extend_from_slice(bytes);
-        } else if !bytes.is_empty() {
-            chunk(&mut conn.output, bytes);
-        }
-        if conn.deadline.is_none() {
-            self.set_deadline(exchange.conn, Some(send));
+        self.write(exchange.conn, |out| match old {
+            true => out.extend_from_slice(bytes),
+            false if bytes.is_empty() => {}
+            false => chunk(out, bytes),
+        });
+        if self.links.deadline(exchange.conn).is_none() {
+            self.links.set_deadline(exchange.conn, Some(self.limits.send));
         }
         self.drive_server(exchange.conn);
         self.waiting(exchange).is_some()
@@ -554,10 +460,10 @@
 
     /// Ends a begun answer.
     pub fn finish(&mut self, exchange: Exchange) {
-        let Some(conn) = self.waiting(exchange) else { return };
-        let Side::Server(ServerState::Streaming { keep_alive, old }) = conn.side else { return };
+        let Some(link) = self.waiting(exchange) else { return };
+        let Side::Server(ServerState::Streaming { keep_alive, old }) = link.state.side else { return };
         if !old {
-            chunk(&mut conn.output, b"");
+            self.write(exchange.conn, |out| chunk(out, b""));
         }
         self.next_request(exchange.conn, keep_alive && !old);
     }
@@ -569,21 +475,20 @@
         }
     }
 
-    fn waiting(&mut self, exchange: Exchange) -> Option<&mut Conn> {
-        let Exchange { conn, serial, turn } = exchange;
-        self.conns.get_mut(conn).filter(|c| c.serial == serial && c.turn == turn)
+    fn waiting(&mut self, exchange: Exchange) -> Option<&mut Link<Conn>> {
+        self.links.get_mut(exchange.conn).filter(|link| link.state.turn == exchange.turn)
     }
 
-    fn next_request(&mut self, key: usize, keep_alive: bool) {
-        let conn = &mut self.conns[key];
+    fn next_request(&mut self, id: LinkId, keep_alive: bool) {
+        let Some(link) = self.links.get_mut(id) else { return };
         // An answer given twice must not reach the connection's next request.
-        conn.turn += 1;
-        conn.side = Side::Server(match keep_alive {
+        link.state.turn += 1;
+        link.state.side = Side::Server(match keep_alive {
             true => ServerState::Head { scanned: 0 },
             false => ServerState::Lingering,
         });
-        self.set_deadline(key, Some(self.limits.send));
-        self.drive_server(key);
+        self.links.set_deadline(id, Some(self.limits.send));
+        self.drive_server(id);
     }
 
     // --- Client side ---
@@ -597,23 +502,26 @@
     }
 
     fn start(&mut self, to: SocketAddr, call: CallId, request: Outgoing) {
-        while let Some(key) = self.servers.get_mut(&to).and_then(|servers| servers.idle.pop()) {
+        while let Some(id) = self.servers.get_mut(&to).and_then(|servers| servers.idle.pop()) {
             // One that the server has closed meanwhile looks writable: what is sent there is lost without proof.
-            let conn = &mut self.conns[key];
-            if conn.read_once(&mut self.scratch) || conn.ended {
-                self.close(key);
+            self.links.look(id);
+            let Some(link) = self.links.get_mut(id) else { continue };
+            if link.ended() || !link.input.is_empty() {
+                self.close(id);
                 continue;
             }
-            self.set_deadline(key, None);
-            let conn = &mut self.conns[key];
-            if let Side::Client(client) = &mut conn.side {
-                (client.call, client.streams) = (Some(call), request.streams);
+            let from = link.end();
+            if let Side::Client(client) = &mut link.state.side {
+                (client.call, client.streams, client.from) = (Some(call), request.streams, from);
                 client.state = ClientState::Head { scanned: 0 };
-                write_call(&mut conn.output, to, &request);
+            }
+            self.links.set_deadline(id, None);
+            self.write(id, |out| write_call(out, to, &request));
+            if let Some(Side::Client(client)) = self.links.get_mut(id).map(|link| &mut link.state.side) {
                 client.request = Some(request);
             }
-            self.calls.insert(call, key);
-            return self.drive_client(key);
+            self.calls.insert(call, id);
+            return self.drive_client(id);
         }
         if self.servers.get(&to).is_some_and(|servers| servers.open >= self.limits.connections_each) {
             return self.events.push_back(HttpEvent::Failed { call, how: Failure::NoRoom });
@@ -625,21 +533,21 @@
             state: ClientState::Connecting,
             streams: request.streams,
             request: Some(request),
+            from: 0,
         };
-        let key = connect(to).and_then(|stream| self.insert(stream, Side::Client(client)));
-        let Ok(key) = key else {
+        let Ok(id) = self.links.connect(to, Conn { turn: 0, side: Side::Client(client) }) else {
             return self.events.push_back(HttpEvent::Failed { call, how: Failure::Connect });
         };
         self.opened += 1;
         self.servers.entry(to).or_default().open += 1;
-        self.calls.insert(call, key);
-        self.set_deadline(key, Some(timeout));
+        self.calls.insert(call, id);
+        self.links.set_deadline(id, Some(timeout));
     }
 
     /// Gives a call up by closing its connection. Nothing more comes of it.
     pub fn cancel(&mut self, call: CallId) {
-        if let Some(&key) = self.calls.get(&call) {
-            self.close(key);
+        if let Some(&id) = self.calls.get(&call) {
+            self.close(id);
         }
         // It may have failed a moment ago, with the news still in the queue.
         self.events.retain(|event| match event {
@@ -653,118 +561,113 @@
 
     pub fn close_idle(&mut self, to: SocketAddr) {
         let idle = self.servers.get(&to).map(|servers| servers.idle.clone()).unwrap_or_default();
-        idle.into_iter().for_each(|key| self.close(key));
+        idle.into_iter().for_each(|id| self.close(id));
     }
 
-    fn fail(&mut self, key: usize, how: Failure) {
-        if let Side::Client(Client { call: Some(call), .. }) = &self.conns[key].side {
+    fn fail(&mut self, id: LinkId, how: Failure) {
+        let side = self.links.get(id).map(|link| &link.state.side);
+        if let Some(Side::Client(Client { call: Some(call), .. })) = side {
             let call = *call;
             self.events.push_back(HttpEvent::Failed { call, how });
         }
-        self.close(key);
+        self.close(id);
     }
 
-    fn drive_client(&mut self, key: usize) {
-        let conn = &mut self.conns[key];
-        let Side::Client(client) = &mut conn.side else { return };
+    fn drive_client(&mut self, id: LinkId) {
+        let Some(Side::Client(client)) = self.links.get(id).map(|link| &link.state.side) else { return };
         if matches!(client.state, ClientState::Connecting) {
-            if let Ok(Some(_)) | Err(_) = conn.stream.take_error() {
-                return self.fail(key, Failure::Connect);
+            match self.links.connected(id) {
+                Some(Ok(())) => self.begin_call(id),
+                Some(Err(())) => return self.fail(id, Failure::Connect),
+                None => return,
             }
-            if conn.stream.peer_addr().is_err() {
-                return;
-            }
-            if let Some(request) = &client.request {
-                write_call(&mut conn.output, client.to, request);
-            }
-            client.state = ClientState::Head { scanned: 0 };
-            self.set_deadline(key, None);
         }
-        let conn = &mut self.conns[key];
-        if !conn.output.is_empty() {
-            let flushed = conn.flush();
-            let Side::Client(client) = &mut conn.side else { return };
-            // From the first byte on the request may be worked on.
-            if conn.written > 0 || matches!(flushed, Flushed::All) {
-                client.request = None;
-            }
-            if let Flushed::Broken = flushed {
-                // What the server said before it closed is still worth reading, below.
-                conn.output.clear();
-                conn.written = 0;
-                conn.ended |= client.request.is_some();
-            }
+        self.links.flush_one(id);
+        let Some(link) = self.links.get_mut(id) else { return };
+        let (left, broken) = (link.left(), link.is_broken());
+        let Side::Client(client) = &mut link.state.side else { return };
+        // From the first byte on the request may be worked on.
+        if left > client.from {
+            client.request = None;
         }
-        loop {
-            let conn = &mut self.conns[key];
-            let more = conn.readable && !conn.ended && conn.read_once(&mut self.scratch);
-            if !self.parse_answer(key) {
-                return;
-            }
-            if !more {
-                if self.conns[key].ended {
-                    self.ended(key);
-                }
-                return;
-            }
+        if broken && client.request.is_some() {
+            return self.ended(id);
+        }
+        self.links.read(id);
+        if self.parse_answer(id) && self.links.get(id).is_some_and(Link::ended) {
+            self.ended(id);
+        }
+    }
+
+    /// A connection has come up: its call is written.
+    fn begin_call(&mut self, id: LinkId) {
+        self.links.set_deadline(id, None);
+        let Some(Side::Client(client)) = self.links.get_mut(id).map(|link| &mut link.state.side) else {
+            return;
+        };
+        client.state = ClientState::Head { scanned: 0 };
+        let (to, request) = (client.to, client.request.clone());
+        if let Some(request) = request {
+            self.write(id, |out| write_call(out, to, &request));
         }
     }
 
     /// The server closed its side.
-    fn ended(&mut self, key: usize) {
-        let conn = &mut self.conns[key];
-        let Side::Client(client) = &mut conn.side else { return };
+    fn ended(&mut self, id: LinkId) {
+        let Some(Side::Client(client)) = self.links.get_mut(id).map(|link| &mut link.state.side) else {
+            return;
+        };
         if client.request.is_some()
             && let (Some(request), Some(call)) = (client.request.take(), client.call.take())
         {
             // An idle connection that was closed while it lay there: not a byte left, so another one may be
             // used. `close` must not take the call from the table.
             let to = client.to;
-            self.close(key);
+            self.close(id);
             self.calls.remove(&call);
             return self.start(to, call, request);
         }
         match &client.state {
-            ClientState::Body { reader, .. } if reader.whole_at_close() => self.whole(key),
-            ClientState::Idle => self.close(key),
-            ClientState::Connecting => self.fail(key, Failure::Connect),
-            ClientState::Head { .. } | ClientState::Body { .. } => self.fail(key, Failure::Reset),
+            ClientState::Body { reader, .. } if reader.whole_at_close() => self.whole(id),
+            ClientState::Idle => self.close(id),
+            ClientState::Connecting => self.fail(id, Failure::Connect),
+            ClientState::Head { .. } | ClientState::Body { .. } => self.fail(id, Failure::Reset),
         }
     }
 
     /// Reads on in an answer; `false` once the connection is closed.
-    fn parse_answer(&mut self, key: usize) -> bool {
+    fn parse_answer(&mut self, id: LinkId) -> bool {
         loop {
-            let conn = &mut self.conns[key];
-            let Side::Client(client) = &mut conn.side else { return false };
+            let Some(link) = self.links.get_mut(id) else { return false };
+            let Side::Client(client) = &mut link.state.side else { return false };
             match &mut client.state {
                 ClientState::Connecting => return true,
                 ClientState::Idle => {
                     // Bytes that nobody asked for: the next answer on it could not be told from them.
-                    if !conn.input.is_empty() {
-                        self.close(key);
+                    if !link.input.is_empty() {
+                        self.close(id);
                         return false;
                     }
                     return true;
                 }
                 ClientState::Head { scanned } => {
-                    let end = head::head_end(&conn.input, scanned);
-                    if end.unwrap_or(conn.input.len()) > self.limits.head {
-                        self.fail(key, Failure::TooLarge);
+                    let end = head::head_end(&link.input, scanned);
+                    if end.unwrap_or(link.input.len()) > self.limits.head {
+                        self.fail(id, Failure::TooLarge);
                         return false;
                     }
                     let Some(end) = end else { return true };
-                    let Ok(head) = head::response(&conn.input[..end]) else {
-                        self.fail(key, Failure::Malformed);
+                    let Ok(head) = head::response(&link.input[..end]) else {
+                        self.fail(id, Failure::Malformed);
                         return false;
                     };
-                    conn.input.drain(..end);
+                    link.input.drain(..end);
                     if (100..200).contains(&head.status) {
                         client.state = ClientState::Head { scanned: 0 };
                         continue;
                     }
                     let Ok(reader) = BodyReader::new(head.framing, self.limits.answer_body) else {
-                        self.fail(key, Failure::TooLarge);
+                        self.fail(id, Failure::TooLarge);
                         return false;
                     };
                     if let (true, Some(call)) = (client.streams, client.call) {
@@ -775,11 +678,11 @@
                     client.state = ClientState::Body { head, reader };
                 }
                 ClientState::Body { reader, .. } => {
-                    let used = match reader.feed(&conn.input) {
+                    let used = match reader.feed(&link.input) {
                         Ok(used) => used,
                         Err(e) => {
                             let too_large = e == BodyError::TooLarge;
-                            self.fail(key, if too_large { Failure::TooLarge } else { Failure::Malformed });
+                            self.fail(id, if too_large { Failure::TooLarge } else { Failure::Malformed });
                             return false;
                         }
                     };
@@ -790,41 +693,49 @@
                         self.events.push_back(HttpEvent::Part { call, bytes });
                     }
                     let done = reader.done();
-                    conn.consume(used);
+                    link.consume(used);
                     if !done {
                         return true;
                     }
-                    self.whole(key);
-                    return self.conns.contains(key);
+                    self.whole(id);
+                    return self.links.get(id).is_some();
                 }
             }
         }
     }
 
     /// An answer is whole: hand it over, and keep the connection if it can serve again.
-    fn whole(&mut self, key: usize) {
-        let conn = &mut self.conns[key];
-        let unsent = !conn.output.is_empty();
-        let Side::Client(client) = &mut conn.side else { return };
-        let Some(call) = client.call.take() else { return self.close(key) };
+    fn whole(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        let spoilt = link.waiting() > 0 || link.ended() || !link.input.is_empty();
+        let Side::Client(client) = &mut link.state.side else { return };
+        let Some(call) = client.call.take() else { return self.close(id) };
         self.calls.remove(&call);
+        let (to, streams) = (client.to, client.streams);
         let state = std::mem::replace(&mut client.state, ClientState::Idle);
-        let ClientState::Body { head, reader } = state else { return self.close(key) };
+        let ClientState::Body { head, reader } = state else { return self.close(id) };
         let ResponseHead { status, headers, keep_alive, .. } = head;
-        self.events.push_back(match client.streams {
+        self.events.push_back(match streams {
             true => HttpEvent::End { call },
             false => HttpEvent::Answer { call, answer: Response { status, headers, body: reader.bytes } },
         });
         // A server that answered before it had read all leaves bytes behind that spoil the connection.
-        if !keep_alive || unsent || conn.ended || !conn.input.is_empty() {
-            return self.close(key);
+        if !keep_alive || spoilt {
+            return self.close(id);
         }
-        let to = client.to;
-        self.set_deadline(key, Some(self.limits.keepalive));
-        self.servers.entry(to).or_default().idle.push(key);
+        self.links.set_deadline(id, Some(self.limits.keepalive));
+        self.servers.entry(to).or_default().idle.push(id);
     }
 }
 
+/// The client that has sent nothing for longest, and owes and is owed nothing.
+fn longest_idle<S: HasHttp>(links: &Links<S, Conn>) -> Option<LinkId> {
+    let idle = links.iter().filter(|(_, link)| {
+        matches!(link.state.side, Side::Server(ServerState::Head { .. })) && link.input.is_empty()
+    });
+    idle.min_by_key(|(_, link)| link.heard()).map(|(id, _)| id)
+}
+
 fn write_call(out: &mut Vec<u8>, to: SocketAddr, request: &Outgoing) {
     let mut headers = without_framing(&request.headers);
     if headers.get("host").is_none() {
--- a/crates/quartzdrift-http/src/links.rs
+++ b/crates/quartzdrift-http/src/links.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// Bytes read at once from one link; then the others have their turn.
-pub const READ_STEP: usize = 16 << 10;
+pub const READ_STEP: usize = 64 << 10;
 /// A buffer that grew past this is given back once it is empty.
 const KEEP_MOST: usize = 4 << 10;
 /// Connections taken in one turn of the loop, so that a flood of them leaves room for the work.
@@ -39,6 +39,7 @@
     queued: bool,
     dirty: bool,
     ended: bool,
+    broken: bool,
     pub input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -70,6 +71,25 @@
         self.ended
     }
 
+    /// Nothing more can be sent; what the peer said before may still be read.
+    pub fn is_broken(&self) -> bool {
+        self.broken
+    }
+
+    /// Tells the peer that nothing more is sent.
+    pub fn finish(&self) {
+        // Of a connection that is broken its end is found out by reading.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.stream.peer_addr().ok()
+    }
+
+    pub fn local(&self) -> Option<SocketAddr> {
+        self.stream.local_addr().ok()
+    }
+
     /// Takes back what lies between two positions, unless some of it has left already.
     pub fn take_back(&mut self, from: u64, to: u64) -> bool {
         if from < self.left {
@@ -131,7 +151,8 @@
 
     /// Nothing more can be sent. What the peer said before is still worth reading.
     fn break_off(&mut self) {
-        self.readable = true;
+        self.output.clear();
+        (self.written, self.broken, self.readable) = (0, true, true);
     }
 }
 
@@ -202,6 +223,11 @@
         }
     }
 
+    /// Has the next [`Links::accept`] look for connections, whatever the loop has told.
+    pub fn look_for_connections(&mut self) {
+        self.acceptable = true;
+    }
+
     /// The next connection that waits to be taken, at most `ACCEPT_MOST` in a turn; `room` makes room where the
     /// process has run out of descriptors.
     pub fn accept(&mut self, room: impl FnOnce(&mut Self)) -> Vec<TcpStream> {
@@ -247,6 +273,7 @@
             queued: false,
             dirty: false,
             ended: false,
+            broken: false,
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
@@ -311,6 +338,11 @@
         ready
     }
 
+    /// Whether a link or a listener is ready.
+    pub fn is_ready(&self) -> bool {
+        !self.ready.is_empty() || self.acceptable
+    }
+
     /// Reads once, a bounded piece, into the link's input; what is left keeps the link ready.
     pub fn read(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(id.key).filter(|link| link.serial == id.serial) else { return };
@@ -344,17 +376,16 @@
 
     /// Writes what waits, gathered for each link.
     pub fn flush(&mut self) {
-        for id in std::mem::take(&mut self.dirty) {
-            if let Some(link) = self.get_mut(id) {
-                link.dirty = false;
-                self.flush_one(id);
-            }
+        while let Some(&id) = self.dirty.last() {
+            self.flush_one(id);
         }
     }
 
     /// Writes what waits on one link.
     pub fn flush_one(&mut self, id: LinkId) {
+        self.dirty.retain(|of| *of != id);
         let Some(link) = self.get_mut(id) else { return };
+        link.dirty = false;
         let read_before = link.readable;
         link.flush();
         if link.readable && !read_before {
@@ -405,7 +436,7 @@
 
     /// When there is something to do without news; now where a link is still ready.
     pub fn next_due(&self) -> Option<Instant> {
-        if !self.ready.is_empty() || self.acceptable || !self.dirty.is_empty() {
+        if self.is_ready() || !self.dirty.is_empty() {
             return Some(Instant::now());
         }
         let first = self.deadlines.first().map(|(at, _)| *at);
--- a/crates/quartzdrift-lab/src/lib.rs
+++ b/crates/quartzdrift-lab/src/lib.rs
@@ -8,6 +8,7 @@
 //!   [`experiment`], which compares variants over days and seeds.
 //! * [`day`]: days of the decision module's bench, scaled down to scripts.
 //! * [`measure`], with [`light`] workers: what a gateway costs.
+//! * [`platform`]: stand-ins for the operators' platform.
 //! * [`actor`]: the event loop that stand-ins run on.
 //! * [`naive`]: a gateway that breaks the rules, to prove that the auditor sees it.
 pub mod actor;
@@ -23,6 +24,7 @@
 pub mod measure;
 pub mod model;
 pub mod naive;
+pub mod platform;
 pub mod record;
 pub mod roster;
 pub mod script;
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -5,6 +5,7 @@
 };
 
 use clap::{Parser, Subcommand};
+use quartzdrift::platform::run;
 use quartzdrift::{logs, serve, settings};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -31,6 +32,8 @@
     },
     /// Run a gateway by a settings file, as `quartzdrift serve` does
     Gateway { file: PathBuf },
+    /// Run a scheduler on the operators' platform, as `quartzdrift run` does
+    Scheduler,
     /// Run one stand-in worker
     Worker {
         #[arg(long, default_value = "127.0.0.1:9801")]
@@ -183,6 +186,7 @@
     let done = match Arguments::parse().command {
         Command::Demo { listen, workers } => demo(listen, workers),
         Command::Gateway { file } => gateway(&file),
+        Command::Scheduler => scheduler(),
         Command::Naive { file } => settings::load(&file)
             .map_err(faults)
             .and_then(|settings| naive::run(settings, |at| serve::announce(&[at]))),
@@ -295,6 +299,12 @@
     std::io::Error::other(lines.join("\n"))
 }
 
+fn scheduler() -> std::io::Result<()> {
+    let signals = run::signals()?;
+    logs::start_by_environment();
+    run::run(&run::path()?, signals, |at| serve::announce(&[at]))
+}
+
 fn gateway(file: &std::path::Path) -> std::io::Result<()> {
     let settings = settings::load(file).map_err(faults)?;
     logs::start(&settings.log);
--- /dev/null
+++ b/crates/quartzdrift-lab/src/platform.rs
@@ -0,0 +1,261 @@
+//! Stand-ins for the operators' platform: a front's connection, a worker and a coordinator. Each does only what its
+//! test says, and tells through a channel what reached it: a test waits for events, never for time.
+use quartzdrift_fastcgi::{self as fastcgi, Head, write_pair, write_record, write_stream};
+use quartzdrift_platform::frame;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+/// Longest wait for any event; a test that meets it has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A front's connection to a scheduler.
+pub struct Front {
+    stream: TcpStream,
+}
+
+/// The answer to one request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    pub number: u16,
+    /// 0 where END_REQUEST came without a response.
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Protocol status of END_REQUEST.
+    pub protocol: u8,
+}
+
+/// Fields of a request that any scheduler takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    pub path: &'a str,
+    pub id: &'a str,
+    pub time: &'a str,
+    pub function: &'a str,
+    pub figures: &'a str,
+    pub body: &'a [u8],
+}
+
+impl Front {
+    pub fn connect(at: SocketAddr) -> io::Result<Front> {
+        let stream = TcpStream::connect(at)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        Ok(Front { stream })
+    }
+
+    /// The bytes of a request.
+    pub fn request(number: u16, asked: &Asked) -> Vec<u8> {
+        let (mut out, mut pairs) = (Vec::new(), Vec::new());
+        for (name, value) in [
+            ("SCRIPT_NAME", asked.path),
+            ("HTTP_X_REQUEST_ID", asked.id),
+            ("HTTP_X_TIMEOUT_MS", asked.time),
+            ("HTTP_X_OBJECT", asked.function),
+            ("HTTP_X_SPEC", asked.figures),
+        ] {
+            write_pair(&mut pairs, name.as_bytes(), value.as_bytes());
+        }
+        write_record(&mut out, fastcgi::BEGIN, number, &[0, 1, 1, 0, 0, 0, 0, 0]);
+        write_stream(&mut out, fastcgi::PARAMS, number, &pairs);
+        write_record(&mut out, fastcgi::PARAMS, number, b"");
+        write_stream(&mut out, fastcgi::STDIN, number, asked.body);
+        write_record(&mut out, fastcgi::STDIN, number, b"");
+        out
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
+    /// The next answer to end, whole; an error once the connection has ended.
+    pub fn reply(&mut self) -> io::Result<Reply> {
+        let mut replies: Vec<Reply> = Vec::new();
+        loop {
+            let mut head = [0; fastcgi::HEAD];
+            self.stream.read_exact(&mut head)?;
+            let head = Head::read(&head).ok().flatten().ok_or_else(|| io::Error::other("no record"))?;
+            let mut content = vec![0; head.content + head.padding];
+            self.stream.read_exact(&mut content)?;
+            content.truncate(head.content);
+            let at = replies.iter().position(|reply| reply.number == head.number).unwrap_or_else(|| {
+                replies.push(Reply { number: head.number, ..Reply::default() });
+                replies.len() - 1
+            });
+            if head.kind != fastcgi::END {
+                replies[at].body.append(&mut content);
+                continue;
+            }
+            let mut reply = replies.swap_remove(at);
+            reply.protocol = content.get(4).copied().unwrap_or(u8::MAX);
+            let said = std::mem::take(&mut reply.body);
+            if let Some(mid) = said.windows(4).position(|four| four == b"\r\n\r\n") {
+                reply.head = String::from_utf8_lossy(&said[..mid]).into_owned();
+                reply.body = said[mid + 4..].to_vec();
+                let status = reply.head.strip_prefix("Status: ").and_then(|rest| rest.get(..3));
+                reply.status = status.and_then(|digits| digits.parse().ok()).unwrap_or(0);
+            }
+            return Ok(reply);
+        }
+    }
+}
+
+/// A command as it reached a worker: its lane, code, id, fields and body.
+pub type Received = (usize, u8, u64, String, Vec<u8>);
+
+/// What reached a stand-in worker.
+#[derive(Debug)]
+pub enum Reached {
+    Connected(usize),
+    Command(Received),
+    Closed(usize),
+}
+
+/// A worker that answers nothing on its own.
+pub struct Worker {
+    pub at: SocketAddr,
+    reached: Receiver<(Reached, Option<TcpStream>)>,
+    lanes: Vec<TcpStream>,
+}
+
+fn command(stream: &mut TcpStream, lane: usize) -> io::Result<Reached> {
+    let mut head = [0; frame::HEAD];
+    stream.read_exact(&mut head)?;
+    let [mark, code, f1, f0, b3, b2, b1, b0, id @ ..] = head;
+    if mark != frame::FROM_SCHEDULER {
+        return Err(io::Error::other("no frame of a scheduler"));
+    }
+    let fields = usize::from(u16::from_be_bytes([f1, f0]));
+    let mut rest = vec![0; fields + u32::from_be_bytes([b3, b2, b1, b0]) as usize + frame::CHECK];
+    stream.read_exact(&mut rest)?;
+    let body = rest[fields..rest.len() - frame::CHECK].to_vec();
+    let fields = String::from_utf8_lossy(&rest[..fields]).into_owned();
+    Ok(Reached::Command((lane, code, u64::from_be_bytes(id), fields, body)))
+}
+
+impl Worker {
+    pub fn start() -> io::Result<Worker> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let at = listener.local_addr()?;
+        let (sender, reached) = channel();
+        thread::spawn(move || {
+            for (lane, stream) in listener.incoming().enumerate() {
+                let Ok(mut stream) = stream else { return };
+                if sender.send((Reached::Connected(lane), stream.try_clone().ok())).is_err() {
+                    return;
+                }
+                let sender = sender.clone();
+                thread::spawn(move || {
+                    while let Ok(command) = command(&mut stream, lane) {
+                        // The test may have seen enough.
+                        let _ = sender.send((command, None));
+                    }
+                    let _ = sender.send((Reached::Closed(lane), None));
+                });
+            }
+        });
+        Ok(Worker { at, reached, lanes: Vec::new() })
+    }
+
+    /// The next thing that reaches it.
+    pub fn reached(&mut self) -> Reached {
+        let (reached, stream) = self.reached.recv_timeout(PATIENCE).expect("something reaches the worker");
+        self.lanes.extend(stream);
+        reached
+    }
+
+    /// Whether nothing has reached it that was not yet taken.
+    pub fn untouched(&mut self) -> bool {
+        self.reached.try_recv().is_err()
+    }
+
+    /// A command, if one has reached it by now.
+    pub fn command_now(&mut self) -> Option<Received> {
+        while let Ok((reached, stream)) = self.reached.try_recv() {
+            self.lanes.extend(stream);
+            if let Reached::Command(received) = reached {
+                return Some(received);
+            }
+        }
+        None
+    }
+
+    /// The next command.
+    pub fn command(&mut self) -> Received {
+        loop {
+            if let Reached::Command(received) = self.reached() {
+                return received;
+            }
+        }
+    }
+
+    pub fn send(&mut self, lane: usize, bytes: &[u8]) {
+        self.lanes[lane].write_all(bytes).expect("the lane takes what the worker says");
+    }
+
+    pub fn answer(&mut self, lane: usize, code: u8, id: u64, body: &[u8]) {
+        let mut out = Vec::new();
+        frame::write(&mut out, frame::FROM_WORKER, code, id, b"report=queue:0", body);
+        self.send(lane, &out);
+    }
+
+    pub fn close(&mut self, lane: usize) {
+        let _ = self.lanes[lane].shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// A coordinator: tells of each poll, and answers it with what the test sends.
+pub struct Coordinator {
+    pub at: SocketAddr,
+    polls: Receiver<String>,
+    answers: Sender<Vec<u8>>,
+}
+
+impl Coordinator {
+    pub fn start() -> io::Result<Coordinator> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let at = listener.local_addr()?;
+        let (seen, polls) = channel();
+        let (answers, says) = channel::<Vec<u8>>();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(stream) = stream else { return };
+                let Ok(mut writer) = stream.try_clone() else { return };
+                let mut lines = BufReader::new(stream).lines();
+                while let Some(Ok(line)) = lines.next() {
+                    if !line.starts_with("GET ") {
+                        continue;
+                    }
+                    if seen.send(line).is_err() {
+                        return;
+                    }
+                    let Ok(said) = says.recv() else { return };
+                    let whole = said.starts_with(b"HTTP");
+                    if writer.write_all(&said).is_err() || !whole {
+                        break;
+                    }
+                }
+            }
+        });
+        Ok(Coordinator { at, polls, answers })
+    }
+
+    /// The next poll's first line.
+    pub fn poll(&self) -> String {
+        self.polls.recv_timeout(PATIENCE).expect("a poll")
+    }
+
+    /// Answers a poll with events.
+    pub fn tell(&self, news: &str) {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", news.len());
+        self.send((head + news).into_bytes());
+    }
+
+    /// Answers a poll with these bytes; what does not begin as an answer ends the connection.
+    pub fn send(&self, bytes: Vec<u8>) {
+        // The scheduler may be gone at the end of a test.
+        let _ = self.answers.send(bytes);
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-lab/tests/platform.rs
@@ -0,0 +1,394 @@
+//! A scheduler process on the platform's sockets, against stand-ins on loopback: the hard cases.
+use quartzdrift_lab::platform::{Asked, Coordinator, Front, Reached, Received, Reply, Worker};
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command, Stdio};
+
+const LAB: &str = env!("CARGO_BIN_EXE_quartzdrift-lab");
+const DONE: u8 = 64;
+const MISS: u8 = 66;
+const FULL: u8 = 67;
+const OVER: u8 = 69;
+const GIVE_UP: u8 = 49;
+
+struct Stage {
+    child: Child,
+    at: SocketAddr,
+    out: BufReader<ChildStdout>,
+    file: PathBuf,
+    _folder: tempfile::TempDir,
+    coordinator: Coordinator,
+    workers: Vec<Worker>,
+}
+
+fn target(uid: &str, at: SocketAddr, state: &str) -> String {
+    format!(r#"{{"uid":"{uid}","endpoint":"{at}","state":"{state}","boot_ms":0}}"#)
+}
+
+fn event(index: u64, all: bool, targets: &[String]) -> String {
+    let targets = targets.join(",");
+    format!(
+        r#"{{"index":{index},"updates":[{{"index":{index},"endpoints":{{"all":{all},"targets":[{targets}]}}}}]}}"#
+    )
+}
+
+fn config(coordinator: SocketAddr, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","limits":{{"sockets":128}},"coordinator":"{coordinator}",
+        "known":{known},"settings":{{
+        "allowed":{{"cancel":true,"max-attempts":3,"retry-after":true,"max-retry-after-ns":2000000000,
+                   "connect-timeout-ns":250000000,"keepalive-ns":15000000000,"streams-per-conn":32}},
+        "classes":[{{"name":"again","effect":"retryable","deadline-ns":60000000000}},
+                   {{"name":"once","effect":"fragile","deadline-ns":60000000000}}],
+        "safety":{{"answer-slack-ns":50000000,"drain-grace-ns":2000000000}},
+        "stats":{{"source":"piggyback","fields":["q"]}}}}}}"#
+    )
+}
+
+impl Stage {
+    fn start(workers: usize) -> Stage {
+        let workers: Vec<Worker> = (0..workers).map(|_| Worker::start().unwrap()).collect();
+        let targets: Vec<String> =
+            workers.iter().enumerate().map(|(n, w)| target(&format!("w{n}"), w.at, "Ready")).collect();
+        let coordinator = Coordinator::start().unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("config.json");
+        std::fs::write(&file, config(coordinator.at, &event(1, true, &targets))).unwrap();
+        let mut child = Command::new(LAB)
+            .arg("scheduler")
+            .env("GW_CONFIG", &file)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut out = BufReader::new(child.stdout.take().unwrap());
+        let mut line = String::new();
+        out.read_line(&mut line).unwrap();
+        let at =
+            line.trim().rsplit('/').next().unwrap().parse().expect("the scheduler says where it listens");
+        Stage { child, at, out, file, _folder: folder, coordinator, workers }
+    }
+
+    fn front(&self) -> Front {
+        Front::connect(self.at).unwrap()
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// The worker that the next command reaches, and the command. Workers not met are asked in turn.
+    fn command(&mut self) -> (usize, Received) {
+        let mut front = self.front();
+        loop {
+            for n in 0..self.workers.len() {
+                if let Some(command) = self.workers[n].command_now() {
+                    return (n, command);
+                }
+            }
+            // An answered check is a turn of the scheduler's loop, in which a command may have left.
+            front.send(&Front::request(1, &asked("/check", "0000000000000000"))).unwrap();
+            assert_eq!(front.reply().unwrap().status, 200);
+        }
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn asked<'a>(path: &'a str, id: &'a str) -> Asked<'a> {
+    let (function, figures) = ("7f3a9c21e0b4d655", "memory_mb:512;lanes:2;load_ms:640");
+    Asked { path, id, time: "50000", function, figures, body: b"the body" }
+}
+
+const ID: &str = "9b1f03aa5c7e2d41";
+const OTHER: &str = "9b1f03aa5c7e2d42";
+
+fn ask(front: &mut Front, number: u16, asked: &Asked) {
+    front.send(&Front::request(number, asked)).unwrap();
+}
+
+fn ask_and_reply(front: &mut Front, asked: &Asked) -> Reply {
+    ask(front, 1, asked);
+    front.reply().unwrap()
+}
+
+#[test]
+fn a_job_goes_out_as_it_came_and_its_answer_comes_back_unchanged() {
+    let mut stage = Stage::start(1);
+    let mut front = stage.front();
+    ask(&mut front, 5, &asked("/do/again", ID));
+    let (lane, code, id, fields, body) = stage.workers[0].command();
+    assert_eq!((code, id, &body[..]), (48, 0x9b1f_03aa_5c7e_2d41, &b"the body"[..]));
+    let (fields, max) = fields.rsplit_once(",max=").unwrap();
+    assert_eq!(fields, "profile=again,thing=7f3a9c21e0b4d655");
+    assert!((1..=50000).contains(&max.parse::<u32>().unwrap()));
+    // Before it, an answer under an unknown id; after it, a second copy. Both are dropped, and the lane lives.
+    stage.workers[0].answer(lane, DONE, 99, b"not asked for");
+    let said: Vec<u8> = (0..=255).collect();
+    stage.workers[0].answer(lane, DONE, id, &said);
+    stage.workers[0].answer(lane, DONE, id, b"second copy");
+    let reply = front.reply().unwrap();
+    assert_eq!((reply.number, reply.status, &reply.body), (5, 200, &said));
+    ask(&mut front, 5, &asked("/do/again", OTHER));
+    let (again, _, id, ..) = stage.workers[0].command();
+    assert_eq!(again, lane);
+    stage.workers[0].answer(lane, DONE, id, b"next");
+    assert_eq!(front.reply().unwrap().body, b"next");
+}
+
+#[test]
+fn what_is_wrong_is_told_at_the_door_and_reaches_no_worker() {
+    let mut stage = Stage::start(1);
+    let mut front = stage.front();
+    let good = asked("/do/again", ID);
+    for (bad, status) in [
+        (Asked { path: "/do/none", ..good }, 404),
+        (Asked { path: "/elsewhere", ..good }, 404),
+        (Asked { id: "", ..good }, 400),
+        (Asked { id: "9b1f03aa5c7e2d4,", ..good }, 400),
+        (Asked { function: "7f3a9c21e0b4,x=1", ..good }, 400),
+        (Asked { time: "-1", ..good }, 400),
+        (Asked { time: "99999999999", ..good }, 400),
+        (Asked { figures: "lanes:nan", ..good }, 400),
+    ] {
+        assert_eq!(ask_and_reply(&mut front, &bad).status, status, "{bad:?}");
+    }
+    // Too large a body is refused from its head, and ends its connection.
+    let body = vec![0; 20 << 10];
+    assert_eq!(ask_and_reply(&mut front, &Asked { body: &body, ..good }).status, 413);
+    assert!(front.reply().is_err());
+    // What is not FastCGI is closed.
+    let mut other = stage.front();
+    other.send(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    assert!(other.reply().is_err());
+    assert!(stage.workers[0].untouched());
+}
+
+#[test]
+fn the_id_of_an_open_job_is_refused_and_the_open_one_goes_on() {
+    let mut stage = Stage::start(1);
+    let (mut first, mut second) = (stage.front(), stage.front());
+    ask(&mut first, 1, &asked("/do/once", ID));
+    let (lane, _, id, ..) = stage.workers[0].command();
+    assert_eq!(ask_and_reply(&mut second, &Asked { body: b"other", ..asked("/do/once", ID) }).status, 409);
+    stage.workers[0].answer(lane, DONE, id, b"done");
+    assert_eq!(first.reply().unwrap().body, b"done");
+    // Where both come over one connection, neither is trusted, and the worker is told.
+    ask(&mut first, 1, &asked("/do/once", OTHER));
+    stage.workers[0].command();
+    ask(&mut first, 2, &asked("/do/once", OTHER));
+    let statuses = [first.reply().unwrap().status, first.reply().unwrap().status];
+    assert_eq!(statuses, [409, 409]);
+    assert_eq!(stage.workers[0].command().1, GIVE_UP);
+}
+
+/// Ways to spoil an answer. After each the lane is of no further use.
+fn spoilt(id: u64) -> Vec<(&'static str, Vec<u8>)> {
+    let mut good = Vec::new();
+    quartzdrift_platform::frame::write(&mut good, 193, DONE, id, b"", b"spoilt");
+    let with = |at: usize, byte: u8| {
+        let mut bytes = good.clone();
+        bytes[at] = byte;
+        bytes
+    };
+    let huge = [&[193, DONE, 0, 0, 0xb2, 0xd0, 0x5e, 0][..], &id.to_be_bytes()].concat();
+    vec![
+        ("mark", with(0, 0)),
+        ("code", with(1, 65)),
+        ("body", with(17, b'x')),
+        ("check", with(good.len() - 1, good[good.len() - 1] ^ 1)),
+        ("three gigabytes", huge),
+        ("noise", b"HTTP/1.1 200 OK\r\n\r\nspoilt".to_vec()),
+    ]
+}
+
+#[test]
+fn nothing_spoilt_is_passed_on_and_what_may_have_run_runs_once() {
+    let mut stage = Stage::start(2);
+    let mut front = stage.front();
+    for (what, bytes) in spoilt(0x9b1f_03aa_5c7e_2d41) {
+        ask(&mut front, 1, &asked("/do/once", ID));
+        let (at, (lane, ..)) = stage.command();
+        stage.workers[at].send(lane, &bytes);
+        // Killed: it may have run, so neither a further execution nor a push-back may follow.
+        assert_eq!(front.reply().unwrap().status, 500, "{what}");
+        assert!(stage.workers.iter_mut().all(|worker| worker.command_now().is_none()), "{what}");
+    }
+    ask(&mut front, 1, &asked("/do/once", ID));
+    let (at, (lane, ..)) = stage.command();
+    stage.workers[at].close(lane);
+    assert_eq!(front.reply().unwrap().status, 500);
+}
+
+#[test]
+fn a_restartable_job_runs_elsewhere_after_a_spoilt_answer() {
+    let mut stage = Stage::start(2);
+    let mut front = stage.front();
+    ask(&mut front, 1, &asked("/do/again", ID));
+    let (first, (lane, _, id, ..)) = stage.command();
+    stage.workers[first].send(lane, b"\xc1\x41 what is this");
+    let (second, (lane, _, again, ..)) = stage.command();
+    assert!(second != first && again == id);
+    stage.workers[second].answer(lane, DONE, id, b"done");
+    assert_eq!(front.reply().unwrap().body, b"done");
+}
+
+#[test]
+fn what_never_ran_goes_elsewhere_also_where_it_may_run_only_once() {
+    let mut stage = Stage::start(2);
+    let mut front = stage.front();
+    for code in [MISS, FULL, OVER] {
+        ask(&mut front, 1, &asked("/do/once", ID));
+        let (first, (lane, _, id, ..)) = stage.command();
+        stage.workers[first].answer(lane, code, id, b"");
+        let (second, (lane, ..)) = stage.command();
+        assert_ne!(first, second);
+        stage.workers[second].answer(lane, DONE, id, b"done");
+        assert_eq!(front.reply().unwrap().status, 200);
+    }
+}
+
+#[test]
+fn a_refused_connection_is_no_execution_and_without_a_worker_left_there_is_a_time_to_come_back() {
+    let stage = Stage::start(0);
+    let mut front = stage.front();
+    let gone = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap();
+    stage.coordinator.poll();
+    stage.coordinator.tell(&event(2, false, &[target("w9", gone, "Ready")]));
+    // The next poll follows from there: the news has been taken.
+    assert!(stage.coordinator.poll().contains("follow=2"));
+    let reply = ask_and_reply(&mut front, &asked("/do/once", ID));
+    assert_eq!(reply.status, 503);
+    assert!(reply.head.contains("Retry-After-Ms: "), "{}", reply.head);
+}
+
+#[test]
+fn whoever_leaves_has_its_execution_given_up() {
+    let mut stage = Stage::start(1);
+    let mut front = stage.front();
+    ask(&mut front, 1, &asked("/do/once", ID));
+    let (_, _, id, ..) = stage.workers[0].command();
+    let mut abort = Vec::new();
+    quartzdrift_fastcgi::write_record(&mut abort, quartzdrift_fastcgi::ABORT, 1, b"");
+    front.send(&abort).unwrap();
+    let (_, code, of, ..) = stage.workers[0].command();
+    assert_eq!((code, of), (GIVE_UP, id));
+    ask(&mut front, 1, &asked("/do/once", OTHER));
+    // The end of the aborted one comes without a response, then nothing of it.
+    assert_eq!(front.reply().unwrap().status, 0);
+    let (_, _, id, ..) = stage.workers[0].command();
+    drop(front);
+    let (_, code, of, ..) = stage.workers[0].command();
+    assert_eq!((code, of), (GIVE_UP, id));
+}
+
+#[test]
+fn a_worker_is_known_by_its_uid_whoever_stood_at_its_address() {
+    let mut stage = Stage::start(1);
+    let mut front = stage.front();
+    ask(&mut front, 1, &asked("/do/again", ID));
+    let (lane, _, id, ..) = stage.workers[0].command();
+    stage.workers[0].answer(lane, DONE, id, b"old");
+    front.reply().unwrap();
+    let at = stage.workers[0].at;
+    stage.coordinator.poll();
+    stage.coordinator.tell(&event(2, false, &[target("w0", at, "Gone"), target("new", at, "Ready")]));
+    // The lane to the one that has gone is closed, and the newcomer gets one of its own.
+    loop {
+        if let Reached::Closed(closed) = stage.workers[0].reached() {
+            assert_eq!(closed, lane);
+            break;
+        }
+    }
+    ask(&mut front, 1, &asked("/do/again", OTHER));
+    let (new, _, id, ..) = stage.workers[0].command();
+    assert_ne!(new, lane);
+    stage.workers[0].answer(new, DONE, id, b"new");
+    assert_eq!(front.reply().unwrap().body, b"new");
+}
+
+#[test]
+fn the_list_stands_through_a_coordinator_that_breaks_off() {
+    let mut stage = Stage::start(2);
+    let cut = event(2, false, &[target("w0", stage.workers[0].at, "Terminating")]);
+    let half = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", cut.len(), &cut[..cut.len() / 2]);
+    for answer in ["", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "noise", &half] {
+        assert!(stage.coordinator.poll().contains("follow=1&"), "{answer}");
+        stage.coordinator.send(answer.as_bytes().to_vec());
+    }
+    // Half an answer is found out by the time that was asked for; then the whole one counts.
+    assert!(stage.coordinator.poll().contains("follow=1&"));
+    stage.coordinator.tell(&cut);
+    assert!(stage.coordinator.poll().contains("follow=2&"));
+    let mut front = stage.front();
+    for id in [ID, OTHER] {
+        ask(&mut front, 1, &asked("/do/again", id));
+        let (at, (lane, _, id, ..)) = stage.command();
+        assert_eq!(at, 1, "a draining worker gets nothing new");
+        stage.workers[at].answer(lane, DONE, id, b"");
+        assert_eq!(front.reply().unwrap().status, 200);
+    }
+}
+
+#[test]
+fn a_hang_up_signal_brings_another_coordinator_and_touches_no_job() {
+    let mut stage = Stage::start(1);
+    let mut front = stage.front();
+    ask(&mut front, 1, &asked("/do/once", ID));
+    let (lane, _, id, ..) = stage.workers[0].command();
+    std::fs::write(&stage.file, "{ half a file").unwrap();
+    stage.signal("-HUP");
+    let next = Coordinator::start().unwrap();
+    std::fs::write(&stage.file, config(next.at, r#"{"index":0,"updates":[]}"#)).unwrap();
+    stage.signal("-HUP");
+    assert!(next.poll().contains("follow=1&"));
+    stage.workers[0].answer(lane, DONE, id, b"done");
+    assert_eq!(front.reply().unwrap().body, b"done");
+}
+
+#[test]
+fn told_to_stop_it_serves_those_that_still_come_and_ends_well() {
+    let mut stage = Stage::start(1);
+    let mut front = stage.front();
+    ask(&mut front, 1, &asked("/do/once", ID));
+    let (lane, _, id, ..) = stage.workers[0].command();
+    stage.signal("-TERM");
+    let mut late = stage.front();
+    loop {
+        ask(&mut late, 1, &asked("/check", OTHER));
+        if late.reply().unwrap().status == 503 {
+            break;
+        }
+    }
+    ask(&mut late, 1, &asked("/do/once", OTHER));
+    let (other, _, late_id, ..) = stage.workers[0].command();
+    stage.workers[0].answer(other, DONE, late_id, b"late");
+    assert_eq!(late.reply().unwrap().body, b"late");
+    stage.workers[0].answer(lane, DONE, id, b"done");
+    assert_eq!(front.reply().unwrap().body, b"done");
+    let mut rest = String::new();
+    stage.out.read_to_string(&mut rest).unwrap();
+    assert!(stage.child.wait().unwrap().success());
+}
+
+#[test]
+fn hundreds_of_silent_connections_leave_room_and_are_closed() {
+    let mut stage = Stage::start(1);
+    let mut silent: Vec<Front> = (0..300).map(|_| stage.front()).collect();
+    let mut front = stage.front();
+    ask(&mut front, 1, &asked("/do/once", ID));
+    let (lane, _, id, ..) = stage.workers[0].command();
+    stage.workers[0].answer(lane, DONE, id, b"done");
+    assert_eq!(front.reply().unwrap().body, b"done");
+    assert!(silent.iter_mut().all(|silent| silent.reply().is_err()));
+    // One that has been answered may be held for good.
+    ask(&mut front, 1, &asked("/check", ID));
+    assert_eq!(front.reply().unwrap().status, 200);
+}
--- a/crates/quartzdrift-platform/src/coordinator.rs
+++ b/crates/quartzdrift-platform/src/coordinator.rs
@@ -158,3 +158,73 @@
         self.last = 0;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn event(index: u64, all: bool, targets: &[(&str, &str, &str)]) -> String {
+        let target = |(uid, at, state): &(&str, &str, &str)| {
+            format!(
+                r#"{{"uid":"{uid}","endpoint":"{at}","az":"east","model":"big","pod_group":2,
+                "state":"{state}","capacity_hint":4,"boot_ms":1500}}"#
+            )
+        };
+        let targets: Vec<String> = targets.iter().map(target).collect();
+        let targets = targets.join(",");
+        format!(r#"{{"index":{index},"endpoints":{{"rev":1,"all":{all},"targets":[{targets}]}}}}"#)
+    }
+
+    fn news(last: u64, events: &[String]) -> Vec<u8> {
+        format!(r#"{{"index":{last},"updates":[{}]}}"#, events.join(",")).into_bytes()
+    }
+
+    fn read(follower: &mut Follower, body: &[u8]) -> Result<Vec<Change>, Doubt> {
+        follower.read(body, &["west".to_owned(), "east".to_owned()], &["std".to_owned(), "big".to_owned()])
+    }
+
+    #[test]
+    fn events_are_taken_in_their_order_and_once() {
+        let mut follower = Follower::default();
+        let first = event(1, true, &[("a", "127.0.0.1:1", "Ready")]);
+        let second = event(2, false, &[("a", "127.0.0.1:1", "Terminating"), ("b", "127.0.0.1:1", "Ready")]);
+        let changes = read(&mut follower, &news(1, std::slice::from_ref(&first))).unwrap();
+        assert!(changes[0].all);
+        let a = &changes[0].workers[0];
+        assert_eq!((a.zone, a.kind, a.cell, a.state), (1, 1, 2, State::Up));
+        assert_eq!(a.started, Some(Duration::from_millis(1500)));
+        let changes = read(&mut follower, &news(2, &[first, second])).unwrap();
+        assert_eq!(changes.len(), 1);
+        let states: Vec<(&str, State)> =
+            changes[0].workers.iter().map(|listed| (&listed.uid[..], listed.state)).collect();
+        assert_eq!(states, [("a", State::Draining), ("b", State::Up)]);
+        assert_eq!(follower.last(), 2);
+    }
+
+    #[test]
+    fn a_gap_or_half_an_answer_changes_nothing() {
+        let mut follower = Follower::default();
+        read(&mut follower, &news(1, &[event(1, true, &[])])).unwrap();
+        let (two, four) = (event(2, false, &[("a", "127.0.0.1:1", "Ready")]), event(4, false, &[]));
+        let whole = news(4, &[two, four]);
+        assert_eq!(read(&mut follower, &whole), Err(Doubt::Gap { have: 2, got: 4 }));
+        for cut in [0, 1, whole.len() / 2, whole.len() - 1] {
+            assert!(matches!(read(&mut follower, &whole[..cut]), Err(Doubt::Unreadable(_))), "{cut}");
+        }
+        assert_eq!(follower.last(), 1);
+        // The whole list mends a gap.
+        let again =
+            read(&mut follower, &news(7, &[event(7, true, &[("c", "127.0.0.1:3", "Ready")])])).unwrap();
+        assert!(again[0].all && follower.last() == 7);
+    }
+
+    #[test]
+    fn unknown_events_and_states_are_no_reason_to_send() {
+        let mut follower = Follower::default();
+        let other = r#"{"index":1,"shards":{}}"#.to_owned();
+        assert!(read(&mut follower, &news(1, &[other])).unwrap().is_empty());
+        let changes =
+            read(&mut follower, &news(2, &[event(2, false, &[("a", "127.0.0.1:1", "Odd")])])).unwrap();
+        assert_eq!((changes[0].workers[0].state, follower.last()), (State::Draining, 2));
+    }
+}
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -364,6 +364,11 @@
         tracing::info!(counts = ?self.counts, "stopped");
     }
 
+    /// Writes on what the last answers still wait to say; whoever comes now is not heard.
+    pub fn last_words(&mut self) {
+        self.http.take_events();
+    }
+
     pub fn unsent(&self) -> bool {
         self.http.unsent()
     }
--- a/crates/quartzdrift/src/serve.rs
+++ b/crates/quartzdrift/src/serve.rs
@@ -50,6 +50,7 @@
     let until = Instant::now() + LAST_ANSWERS;
     while gateway.unsent() && Instant::now() < until {
         event_loop.dispatch(Duration::from_millis(10), &mut gateway).map_err(io::Error::other)?;
+        gateway.last_words();
     }
     Ok(())
 }
