Module: bounds in jobs by workers' size, told by the copies they have memory for

Ruled out: lanes (93 lost under commands of 27,000), time added (0.1 ms), reports' age.

Change: both bounds times the copies that workers' memory holds over twenty, never less than once.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -24,6 +24,7 @@
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
 const CLAIM_MOST: f64 = 2.0; // most by which a job's claim moves the bound: none is shut out
 const BOUND_ALL: f64 = 6.5; // mean of estimated jobs: the whole fleet holds several times a few cores' worth
+const COPIES_FEW: f64 = 20.0; // copies that fit a worker of a few cores, the size that bounds in jobs are of
 const BUSY_ALL: f64 = 0.9; // mean share of busy cores as reported: below it some worker has room
 const PATIENCE: f64 = 2.0; // of what nearly all executions take: the rest are stragglers
 const NEARLY_ALL: f64 = 0.95; // share of executions that patience is measured on
@@ -353,10 +354,11 @@
     calling: Option<(JobId, Call)>,
     waiting: usize,
     offers: Vec<Offer>,
-    /// Work that was finished, by customer, and asked, by function; importance asked.
+    /// Work that was finished, by customer, and asked, by function; importance asked; the usual copy.
     finished: Shares,
     asked: Shares,
     asked_worth: Shares,
+    copy_mb: f64,
     /// By kind of machine: executions that found a copy, and their times against their workload's mean.
     done: Shares,
     took: Shares,
@@ -520,6 +522,13 @@
         });
     }
 
+    /// How many times a worker of a few cores the workers are, by the usual copies that they have memory for.
+    fn size(&self) -> f64 {
+        let mb = self.figures.memory_mb.iter().sum::<f64>() / self.figures.memory_mb.len() as f64;
+        let size = mb / self.copy_mb / COPIES_FEW;
+        if size.is_finite() { size.max(1.0) } else { 1.0 }
+    }
+
     /// The work of a job of this workload against the usual one; a crowd that slows all changes no weight.
     fn weight(&self, workload: usize) -> f64 {
         self.kinds[workload].quick.mean().map_or(1.0, |mean| mean.as_secs_f64() / self.usual())
@@ -594,6 +603,8 @@
         self.taken.add(now);
         self.asked.add(function, weight, now);
         self.asked_worth.add(0, self.worth(workload) * weight, now);
+        let more = asked.memory_mb.map_or(0.0, |mb| mb - self.copy_mb);
+        self.copy_mb += if self.copy_mb > 0.0 { more / f64::from(HALVE_AT) } else { more };
         let (give_up, lanes) = (now + asked.left, asked.lanes.unwrap_or(1.0).clamp(1.0, 2.0));
         let job = Job { workload, customer: asked.customer, function, lanes, give_up, ..Job::default() };
         self.jobs.insert(asked.job, job);
@@ -708,7 +719,7 @@
         let working: usize = offers.iter().map(|o| o.working).sum();
         // Reports count others' jobs that wait for loads and fill no core: ours tell how many do.
         let busy = if self.figures.counts { mean * working as f64 / own.max(1) as f64 } else { mean };
-        let bound = (mean * BOUND_RATIO).max(BOUND_LEAST);
+        let bound = (mean * BOUND_RATIO).max(BOUND_LEAST * self.size());
         offers.retain(|o| jobs(o) < bound);
         // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each
         // of them, as many as the function's share of the work needs. One job tells nothing of popularity.
@@ -718,7 +729,7 @@
         for home in offers.iter_mut().take(homes) {
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
-        let bound_all = BOUND_ALL * self.claim(&call);
+        let bound_all = BOUND_ALL * self.size() * self.claim(&call);
         if busy > bound_all {
             // Guards against load storms: a job sent to load where all are busy only makes them busier.
             offers.retain(|o| o.status != Status::NotWarm && jobs(o) < bound_all);
@@ -761,7 +772,7 @@
         let up = |w: &Worker| w.listing.state == State::Up && w.cold_since.is_none() && w.full_until <= now;
         let mut fit: Vec<usize> = self.workers.iter().filter(|w| up(w) && well(w)).map(|w| w.ix).collect();
         let jobs: usize = fit.iter().map(|&ix| self.workers[ix].out.len()).sum();
-        if jobs as f64 * self.figures.schedulers > BOUND_ALL * fit.len() as f64 {
+        if jobs as f64 * self.figures.schedulers > BOUND_ALL * self.size() * fit.len() as f64 {
             return;
         }
         fit.sort_by_cached_key(|&ix| std::cmp::Reverse(self.order(e.function, ix)));
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -4,7 +4,8 @@
 //!                                customers, keep, fall, told, cancel, report held, discovery ask
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1*2  form, then workers: state, start, zone, kind of machine
-//!     job 7 f left=1s            a job of function f; `workload=` and `customer=` may follow
+//!     set memory 1000            of a worker, in MB
+//!     job 7 f left=1s            a job of function f; `workload=`, `customer=` and `mb=` may follow
 //!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the
 //!                                other, each finished at once, in 300 ms on the kind named by `slow=`
 //!     end 7 finished warm        how its execution ended; `over`, `took=`, `held=` may follow
@@ -119,6 +120,7 @@
                 s.rules.fall_multiple = Some(number(words.get(3))?);
                 s.rules.fall_window = Some(span(words.get(4).unwrap_or(&""))?);
             }
+            "memory" => s.copies.memory_mb_by_kind = vec![number(Some(&value))?],
             "told" => s.copies.tells_warm = true,
             "cancel" => s.allowed.cancel = true,
             "orders" => {
@@ -157,7 +159,9 @@
         let count = |key| value_of(words, key).map_or(Ok(0), |w| number(Some(&w)));
         let (workload, customer) = (count("workload")?, count("customer")?);
         let left = span(value_of(words, "left").unwrap_or("3s"))?;
-        self.give(Event::Job(JobAsked { job, function, left, workload, customer, ..JobAsked::default() }));
+        let memory_mb = value_of(words, "mb").map(|w| number(Some(&w))).transpose()?;
+        let asked = JobAsked { job, function, left, workload, customer, memory_mb, ..JobAsked::default() };
+        self.give(Event::Job(asked));
         Ok(())
     }
 
