--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -144,8 +144,7 @@
             return Duration::ZERO;
         }
         let now = self.now();
-        let stop = self.stopping.map(|since| since + STAY);
-        let own = [self.desk.next_due(), self.coordinator.next_due(), stop];
+        let own = [self.desk.next_due(), self.coordinator.next_due(), stay_ends(self.stopping, now)];
         let own = own.into_iter().flatten().min().map(|at| at.saturating_sub(now));
         let sockets = [self.links.next_due(), self.http.next_deadline()];
         let sockets =
@@ -239,7 +238,7 @@
 
     /// Whether a stop is complete.
     pub fn stopped(&self) -> bool {
-        let stayed = self.stopping.is_some_and(|since| self.now() >= since + STAY);
+        let stayed = self.stopping.is_some() && stay_ends(self.stopping, self.now()).is_none();
         stayed && self.desk.open() == 0 && !self.links.unsent()
     }
 
@@ -252,3 +251,24 @@
         }
     }
 }
+
+/// When a stop need not wait for newcomers any more; nothing once that has passed, since then only what is open is
+/// waited for, and the loop must sleep meanwhile.
+fn stay_ends(stopping: Option<Duration>, now: Duration) -> Option<Duration> {
+    stopping.map(|since| since + STAY).filter(|at| *at > now)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_end_of_the_stay_wakes_the_loop_once() {
+        let (since, ms) = (Duration::from_secs(5), Duration::from_millis(1));
+        assert_eq!(stay_ends(None, since), None);
+        assert_eq!(stay_ends(Some(since), since), Some(since + STAY));
+        assert_eq!(stay_ends(Some(since), since + STAY - ms), Some(since + STAY));
+        assert_eq!(stay_ends(Some(since), since + STAY), None);
+        assert_eq!(stay_ends(Some(since), since + STAY * 2), None);
+    }
+}
