The lane that rested longest makes room; a silent worker's idle lanes go together

Seen: `spare_lane` closed whichever idle lane came first in the table, also one used a moment ago, and each idle lane of a machine that has vanished was asked for 250 ms in turn before a new connection told. Change: the one that rested longest goes; where one is silent, all idle ones of its worker are closed. Test: a thousand workers and clients, each new and at one address, leave every table at rest.

--- a/crates/quartzdrift-lab/tests/platform.rs
+++ b/crates/quartzdrift-lab/tests/platform.rs
@@ -1,7 +1,8 @@
 //! A scheduler process on the platform's sockets, against stand-ins on loopback: the hard cases.
+use quartzdrift::platform::Node;
 use quartzdrift_lab::platform::{Asked, Coordinator, Front, Reached, Received, Reply, Worker};
 use std::io::{BufRead, BufReader, Read};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Instant;
@@ -260,7 +261,7 @@
 fn a_refused_connection_is_no_execution_and_without_a_worker_left_there_is_a_time_to_come_back() {
     let stage = Stage::start(0);
     let mut front = stage.front();
-    let gone = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap();
+    let gone = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap();
     stage.coordinator.poll();
     stage.coordinator.tell(&event(2, false, &[target("w9", gone, "Ready")]));
     // The next poll follows from there: the news has been taken.
@@ -416,3 +417,48 @@
     ask(&mut front, 1, &asked("/check", ID));
     assert_eq!(front.reply().unwrap().status, 200);
 }
+
+#[test]
+fn a_thousand_workers_and_clients_leave_nothing_behind() {
+    const REPLACED: u64 = 1000;
+    let mut worker = Worker::start().unwrap();
+    let (at, coordinator) = (worker.at, Coordinator::start().unwrap());
+    let text = config(coordinator.at, &event(1, true, &[target("w1", at, "Ready")]));
+    let config = quartzdrift_platform::config::read(text.as_bytes()).unwrap();
+    let mut event_loop = calloop::EventLoop::<Node>::try_new().unwrap();
+    let mut node = Node::new(config, PathBuf::new(), event_loop.handle());
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let door = listener.local_addr().unwrap();
+    node.listen(listener).unwrap();
+    let replacing = std::thread::spawn(move || {
+        for n in 2..=REPLACED {
+            coordinator.poll();
+            let (old, new) = (format!("w{}", n - 1), format!("w{n}"));
+            coordinator.tell(&event(n, false, &[target(&old, at, "Gone"), target(&new, at, "Ready")]));
+        }
+        assert!(coordinator.poll().contains(&format!("follow={REPLACED}&")));
+    });
+    std::thread::spawn(move || {
+        loop {
+            let (lane, code, id, ..) = worker.command();
+            if code != GIVE_UP {
+                worker.answer(lane, DONE, id, b"");
+            }
+        }
+    });
+    let asking = std::thread::spawn(move || {
+        for n in 0..REPLACED {
+            let id = format!("{n:016x}");
+            let reply = ask_and_reply(&mut Front::connect(door).unwrap(), &asked("/do/again", &id));
+            assert!([200, 503].contains(&reply.status), "{reply:?}");
+        }
+    });
+    let at_rest = |node: &Node| matches!(node.held(), [0, 1, 0..=2, 0, 0]);
+    while !(replacing.is_finished() && asking.is_finished() && at_rest(&node)) {
+        event_loop.dispatch(node.until_next(), &mut node).unwrap();
+        node.turn();
+    }
+    replacing.join().unwrap();
+    asking.join().unwrap();
+    assert_eq!(node.counts.taken, REPLACED);
+}
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -228,6 +228,11 @@
         }
     }
 
+    /// What its tables hold: clients, workers, lanes, executions out, and jobs open by their clients' ids.
+    pub fn held(&self) -> [usize; 5] {
+        [self.clients, self.workers.len(), self.lanes, self.executions.len(), self.open.len()]
+    }
+
     /// SIGTERM: whoever still comes is served, and the process ends once all is answered.
     pub fn stop(&mut self) {
         if self.stopping.is_none() {
--- a/crates/quartzdrift/src/platform/workers.rs
+++ b/crates/quartzdrift/src/platform/workers.rs
@@ -200,13 +200,16 @@
         }
     }
 
-    /// With all descriptors of the workers' side in use: closes an idle lane of another worker.
+    /// With all descriptors of the workers' side in use: closes the lane of another worker that has rested longest.
     fn spare_lane(&mut self, but: &Rc<str>) -> bool {
-        let idle = self.links.iter().find(|(_, link)| match &link.state {
-            Peer::Lane(lane) => lane.stage == Stage::Up && lane.commands.is_empty() && lane.worker != *but,
-            Peer::Client(_) => false,
-        });
-        let Some(id) = idle.map(|(id, _)| id) else { return false };
+        let rests = |(id, link): (LinkId, &quartzdrift_http::links::Link<Peer>)| match &link.state {
+            Peer::Lane(lane) => {
+                let idle = lane.stage == Stage::Up && lane.commands.is_empty() && lane.worker != *but;
+                idle.then_some((lane.rests, id))
+            }
+            Peer::Client(_) => None,
+        };
+        let Some((_, id)) = self.links.iter().filter_map(rests).min() else { return false };
         self.close_lane(id);
         true
     }
@@ -275,7 +278,12 @@
     pub(super) fn lane_overdue(&mut self, id: LinkId) {
         match lane(&mut self.links, id).map(|lane| lane.stage) {
             Some(Stage::Up) => self.close_if_idle(id),
-            Some(Stage::Proving) => self.lose_lane(id, Cut::Unsent),
+            Some(Stage::Proving) => {
+                // Its other idle lanes are as silent: whether the worker is there, a new connection tells.
+                let worker = lane(&mut self.links, id).map(|lane| lane.worker.clone());
+                worker.into_iter().for_each(|worker| self.close_idle(&worker));
+                self.lose_lane(id, Cut::Unsent);
+            }
             Some(Stage::Connecting) => self.lose_lane(id, Cut::NotConnected),
             None => {}
         }
