A client that reads nothing is cut; beliefs held against the sockets in the log

Seen: unread answers had a bound of bytes that was looked at only when the client said something, and no bound of time. Change: an answer on top of unread bytes sets the limit at once, 5 s for them to be taken; test of a client that asks and never reads, while another is served. With `quartzdrift=debug` a line a second tells what sockets, desk and module hold.

--- a/crates/quartzdrift-desk/src/desk.rs
+++ b/crates/quartzdrift-desk/src/desk.rs
@@ -240,6 +240,11 @@
         self.out.range((job, 0)..=(job, u32::MAX)).map(|((_, execution), _)| *execution)
     }
 
+    /// Places that the module keeps for workers and functions, and jobs that it holds open.
+    pub fn places(&self) -> (usize, usize, usize) {
+        self.scheduler.places()
+    }
+
     pub fn workers_up(&self) -> usize {
         self.workers.values().filter(|state| **state == State::Up).count()
     }
--- a/crates/quartzdrift-lab/src/platform.rs
+++ b/crates/quartzdrift-lab/src/platform.rs
@@ -46,6 +46,7 @@
     pub fn connect(at: SocketAddr) -> io::Result<Front> {
         let stream = TcpStream::connect(at)?;
         stream.set_read_timeout(Some(PATIENCE))?;
+        stream.set_nodelay(true)?;
         Ok(Front { stream })
     }
 
--- a/crates/quartzdrift-lab/tests/platform.rs
+++ b/crates/quartzdrift-lab/tests/platform.rs
@@ -403,6 +403,35 @@
     assert!(stage.child.wait().unwrap().success());
 }
 
+#[test]
+fn a_client_that_reads_nothing_is_cut_and_others_go_on() {
+    let mut stage = Stage::start(1);
+    let (mut deaf, mut checks) = (stage.front(), stage.front());
+    let said = vec![7; 60 << 10];
+    let (mut jobs, mut idle) = (0_u64, 0);
+    // Far past what buffers hold; without a bound this would end at the largest number of jobs.
+    while jobs < 2000 && idle < 1000 {
+        if idle == 0 && deaf.send(&Front::request(1, &asked("/do/again", &format!("{jobs:016x}")))).is_err() {
+            break;
+        }
+        match stage.workers[0].command_now() {
+            Some((lane, _, id, ..)) => {
+                stage.workers[0].answer(lane, DONE, id, &said);
+                (jobs, idle) = (jobs + 1, 0);
+            }
+            // Each answered check is a turn of the scheduler's loop.
+            None => idle += 1,
+        }
+        assert_eq!(ask_and_reply(&mut checks, &asked("/check", ID)).status, 200);
+    }
+    assert!(jobs < 2000, "nothing stopped it");
+    let mut whole = 0;
+    while deaf.reply().is_ok() {
+        whole += 1;
+    }
+    assert!(whole < jobs, "the end of what it was sent shows that not all is there");
+}
+
 #[test]
 fn hundreds_of_silent_connections_leave_room_and_are_closed() {
     let mut stage = Stage::start(1);
--- a/crates/quartzdrift/src/platform/clients.rs
+++ b/crates/quartzdrift/src/platform/clients.rs
@@ -15,6 +15,8 @@
 const RECEIVE: Duration = Duration::from_secs(2);
 /// For a client to take the last that is written before its connection is closed.
 const LAST_WORDS: Duration = Duration::from_secs(2);
+/// For a client to take what waits for it; then it is cut, so that it can tell.
+const SEND: Duration = Duration::from_secs(5);
 /// Bytes that wait for a client at most: its 32 answers with room; more, and it is cut off.
 const UNREAD_MOST: usize = 1 << 20;
 /// Told to those for whom there is no room at all.
@@ -27,6 +29,8 @@
     First,
     /// The rest of a request.
     Rest,
+    /// To take what is written to it.
+    Unread,
     /// It may take its time.
     None,
     /// The last bytes to leave, then it is closed.
@@ -176,6 +180,8 @@
             (Limit::First, Some(RECEIVE))
         } else if partial || responder.is_partial() {
             (Limit::Rest, Some(RECEIVE))
+        } else if unread > 0 {
+            (Limit::Unread, Some(SEND))
         } else {
             (Limit::None, None)
         };
@@ -294,6 +300,7 @@
         let ms = come_back.map(|span| span.as_nanos().div_ceil(1_000_000).to_string());
         let field = ms.as_deref().map(|ms| ("Retry-After-Ms", ms));
         let answer = Answer { status, reason: reason(status), fields: field.as_slice(), body };
+        let unread = self.links.get(id).is_some_and(|link| link.waiting() > 0);
         let Some(client) = client(&mut self.links, id) else { return };
         let mut out = Vec::with_capacity(body.len() + 128);
         if client.responder.answer(number, &answer, &mut out) == fastcgi::Ended::Close {
@@ -302,6 +309,10 @@
             self.closing.push(id);
         }
         self.write(id, &out);
+        if unread {
+            // It may never be heard of again: what it does not read sets its limit.
+            self.limit_client(id);
+        }
     }
 
     pub(super) fn final_answer(&mut self, job: JobId, work: &Work, answer: FinalAnswer) {
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -88,6 +88,8 @@
     in_hand: Option<Vec<u8>>,
     coordinator: Coordinator,
     stopping: Option<Duration>,
+    /// When beliefs were last held against the sockets.
+    compared: Duration,
     pub counts: Counts,
 }
 
@@ -119,6 +121,7 @@
             in_hand: None,
             coordinator: Coordinator::new(config.coordinator),
             stopping: None,
+            compared: Duration::ZERO,
             counts: Counts::default(),
             config,
         };
@@ -187,10 +190,36 @@
             self.carry_out();
         }
         self.coordinator_due(now);
+        self.compare(now);
         self.links.flush();
         self.close_served();
     }
 
+    /// Where the log is to hear of it: what desk and module believe is out and open, against what the sockets hold.
+    fn compare(&mut self, now: Duration) {
+        if now < self.compared + LOOK_UP || !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        self.compared = now;
+        let [clients, workers, lanes, on_sockets, open] = self.held();
+        let (at_desk, desk_open) = (self.desk.executions_out(), self.desk.open());
+        let (names, functions, module_open) = self.desk.places();
+        let up = self.desk.workers_up();
+        tracing::debug!(
+            clients,
+            workers,
+            up,
+            lanes,
+            on_sockets,
+            at_desk,
+            open,
+            desk_open,
+            module_open,
+            "held"
+        );
+        tracing::debug!(names, functions, "module's places");
+    }
+
     /// Does what the desk says, until it says no more.
     fn carry_out(&mut self) {
         loop {
