--- a/crates/quartzdrift-lab/tests/platform.rs
+++ b/crates/quartzdrift-lab/tests/platform.rs
@@ -262,10 +262,13 @@
     let stage = Stage::start(0);
     let mut front = stage.front();
     let gone = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap();
+    // Without a worker no job can be taken, and the check says so.
+    assert_eq!(ask_and_reply(&mut front, &asked("/check", ID)).status, 503);
     stage.coordinator.poll();
     stage.coordinator.tell(&event(2, false, &[target("w9", gone, "Ready")]));
     // The next poll follows from there: the news has been taken.
     assert!(stage.coordinator.poll().contains("follow=2"));
+    assert_eq!(ask_and_reply(&mut front, &asked("/check", ID)).status, 200);
     let reply = ask_and_reply(&mut front, &asked("/do/once", ID));
     assert_eq!(reply.status, 503);
     assert!(reply.head.contains("Retry-After-Ms: "), "{}", reply.head);
