Tests: a vanished machine, and a job that waits for a slow connection when its worker drains

Need: both are named as hard cases of the platform and had no test that causes them. A listener whose queue of one is full stands for a machine that has vanished: run-once jobs are pushed back after the connect time-out, as they never ran; what waits for such a connection is withdrawn and placed anew once its worker drains.

--- a/crates/quartzdrift-lab/tests/platform.rs
+++ b/crates/quartzdrift-lab/tests/platform.rs
@@ -2,10 +2,10 @@
 use quartzdrift::platform::Node;
 use quartzdrift_lab::platform::{Asked, Coordinator, Front, Reached, Received, Reply, Worker};
 use std::io::{BufRead, BufReader, Read};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const LAB: &str = env!("CARGO_BIN_EXE_quartzdrift-lab");
 const DONE: u8 = 64;
@@ -50,13 +50,19 @@
 
 impl Stage {
     fn start(workers: usize) -> Stage {
+        Stage::with(workers, "250000000")
+    }
+
+    /// `connect`: the connect time-out, in nanoseconds.
+    fn with(workers: usize, connect: &str) -> Stage {
         let workers: Vec<Worker> = (0..workers).map(|_| Worker::start().unwrap()).collect();
         let targets: Vec<String> =
             workers.iter().enumerate().map(|(n, w)| target(&format!("w{n}"), w.at, "Ready")).collect();
         let coordinator = Coordinator::start().unwrap();
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("config.json");
-        std::fs::write(&file, config(coordinator.at, &event(1, true, &targets))).unwrap();
+        let text = config(coordinator.at, &event(1, true, &targets));
+        std::fs::write(&file, text.replace("250000000", connect)).unwrap();
         let mut child = Command::new(LAB)
             .arg("scheduler")
             .env("GW_CONFIG", &file)
@@ -297,6 +303,56 @@
     assert_eq!(front.reply().unwrap().body, b"done");
 }
 
+/// A listener that answers no new connection, as a machine that has vanished: its queue of one is full, and stays so.
+fn vanished() -> (socket2::Socket, SocketAddr, Vec<TcpStream>) {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let at = socket.local_addr().unwrap().as_socket().unwrap();
+    let mut held = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_millis(200)) {
+        held.push(stream);
+    }
+    (socket, at, held)
+}
+
+#[test]
+fn a_machine_that_has_vanished_costs_the_connect_timeout_and_no_job() {
+    let stage = Stage::start(0);
+    let mut front = stage.front();
+    let (_socket, at, _held) = vanished();
+    stage.coordinator.poll();
+    stage.coordinator.tell(&event(2, false, &[target("w0", at, "Ready")]));
+    assert!(stage.coordinator.poll().contains("follow=2&"));
+    let reply = ask_and_reply(&mut front, &asked("/do/once", ID));
+    assert!(reply.status == 503 && reply.head.contains("Retry-After-Ms: "), "it never ran: {reply:?}");
+}
+
+#[test]
+fn what_waits_for_a_slow_connection_goes_elsewhere_once_its_worker_drains() {
+    let mut stage = Stage::with(0, "60000000000");
+    let mut front = stage.front();
+    let (_socket, at, _held) = vanished();
+    stage.coordinator.poll();
+    stage.coordinator.tell(&event(2, false, &[target("w0", at, "Ready")]));
+    assert!(stage.coordinator.poll().contains("follow=2&"));
+    ask(&mut front, 1, &asked("/do/once", ID));
+    // The job has been taken once a later one on the same connection is answered.
+    ask(&mut front, 2, &asked("/check", OTHER));
+    assert_eq!(front.reply().unwrap().number, 2);
+    stage.workers.push(Worker::start().unwrap());
+    let there = stage.workers[0].at;
+    stage.coordinator.tell(&event(
+        3,
+        false,
+        &[target("w0", at, "Terminating"), target("w1", there, "Ready")],
+    ));
+    let (lane, _, id, ..) = stage.workers[0].command();
+    stage.workers[0].answer(lane, DONE, id, b"elsewhere");
+    assert_eq!(front.reply().unwrap().body, b"elsewhere");
+}
+
 #[test]
 fn whoever_leaves_has_its_execution_given_up() {
     let mut stage = Stage::start(1);
