Twins made one piece of code; a lane is given up only where a new one is wanted

Read again: `lane_for` closed another worker's idle lane whenever the table was full, even with an idle lane of its own at hand; room is now asked for only where a connection is wanted, with a test that fails if it is asked for sooner. One piece now serves both: the loop's clock and sleep, who makes room among links, a worker's entry for the module, names of report fields, the start of a scheduler, the line in which a process says where it listens. Links: one look-up by name; the dirty list is searched only for links on it. An answer that ends a connection keeps that limit also with bytes unread.

--- a/crates/quartzdrift-http/src/http.rs
+++ b/crates/quartzdrift-http/src/http.rs
@@ -211,15 +211,10 @@
     }
 
     fn accept(&mut self) {
-        let room = |links: &mut Links<S, Conn>| {
-            if let Some(id) = longest_idle(links) {
-                links.set_deadline(id, Some(Duration::ZERO));
-            }
-        };
-        for stream in self.links.accept(room) {
+        for stream in self.links.accept(is_idle) {
             if self.clients >= self.limits.connections {
                 // Makes room; where none is idle the newcomer is closed unread: it may try again elsewhere.
-                let Some(idle) = longest_idle(&self.links) else { continue };
+                let Some(idle) = self.links.longest_silent(is_idle) else { continue };
                 self.close(idle);
             }
             let side = Side::Server(ServerState::Head { scanned: 0 });
@@ -728,12 +723,9 @@
     }
 }
 
-/// The client that has sent nothing for longest, and owes and is owed nothing.
-fn longest_idle<S: HasHttp>(links: &Links<S, Conn>) -> Option<LinkId> {
-    let idle = links.iter().filter(|(_, link)| {
-        matches!(link.state.side, Side::Server(ServerState::Head { .. })) && link.input.is_empty()
-    });
-    idle.min_by_key(|(_, link)| link.heard()).map(|(id, _)| id)
+/// A client that owes and is owed nothing.
+fn is_idle(link: &Link<Conn>) -> bool {
+    matches!(link.state.side, Side::Server(ServerState::Head { .. })) && link.input.is_empty()
 }
 
 fn write_call(out: &mut Vec<u8>, to: SocketAddr, request: &Outgoing) {
--- a/crates/quartzdrift-http/src/links.rs
+++ b/crates/quartzdrift-http/src/links.rs
@@ -46,6 +46,7 @@
     /// Bytes handed to the system since the link began.
     left: u64,
     deadline: Option<Instant>,
+    /// When the peer last said something, or came.
     heard: Instant,
     pub state: T,
 }
@@ -101,11 +102,6 @@
         true
     }
 
-    /// When the peer last said something, or came.
-    pub fn heard(&self) -> Instant {
-        self.heard
-    }
-
     /// Drops read bytes from the front.
     pub fn consume(&mut self, bytes: usize) {
         self.input.drain(..bytes);
@@ -194,7 +190,7 @@
     }
 
     pub fn get_mut(&mut self, id: LinkId) -> Option<&mut Link<T>> {
-        self.links.get_mut(id.key).filter(|link| link.serial == id.serial)
+        find(&mut self.links, id)
     }
 
     pub fn iter(&self) -> impl Iterator<Item = (LinkId, &Link<T>)> {
@@ -228,9 +224,9 @@
         self.acceptable = true;
     }
 
-    /// The next connection that waits to be taken, at most `ACCEPT_MOST` in a turn; `room` makes room where the
-    /// process has run out of descriptors.
-    pub fn accept(&mut self, room: impl FnOnce(&mut Self)) -> Vec<TcpStream> {
+    /// Connections that wait to be taken, at most `ACCEPT_MOST` in a turn. Where the process has run out of
+    /// descriptors, the `idle` link that has been silent longest is overdue at once.
+    pub fn accept(&mut self, idle: impl Fn(&Link<T>) -> bool) -> Vec<TcpStream> {
         let mut taken = Vec::new();
         if !std::mem::take(&mut self.acceptable) {
             return taken;
@@ -244,7 +240,9 @@
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                     Err(_) => {
                         // Out of descriptors or memory: a level-triggered listener would spin.
-                        room(self);
+                        if let Some(id) = self.longest_silent(&idle) {
+                            self.set_deadline(id, Some(Duration::ZERO));
+                        }
                         for (_, token) in &self.listeners {
                             // An error here means that the loop itself is broken; the next turn will show it.
                             let _ = self.handle.disable(token);
@@ -258,6 +256,12 @@
         taken
     }
 
+    /// Of the links that `idle` names, the one whose peer has said nothing for longest: it makes room for others.
+    pub fn longest_silent(&self, idle: impl Fn(&Link<T>) -> bool) -> Option<LinkId> {
+        let idle = self.iter().filter(|(_, link)| idle(link));
+        idle.min_by_key(|(_, link)| link.heard).map(|(id, _)| id)
+    }
+
     /// Takes a connected stream as a link.
     pub fn insert(&mut self, stream: TcpStream, state: T) -> io::Result<LinkId> {
         stream.set_nonblocking(true)?;
@@ -321,7 +325,7 @@
     }
 
     fn queue(&mut self, id: LinkId) {
-        if let Some(link) = self.links.get_mut(id.key).filter(|link| !link.queued) {
+        if let Some(link) = find(&mut self.links, id).filter(|link| !link.queued) {
             link.queued = true;
             self.ready.push_back(id);
         }
@@ -345,7 +349,7 @@
 
     /// Reads once, a bounded piece, into the link's input; what is left keeps the link ready.
     pub fn read(&mut self, id: LinkId) {
-        let Some(link) = self.links.get_mut(id.key).filter(|link| link.serial == id.serial) else { return };
+        let Some(link) = find(&mut self.links, id) else { return };
         if link.readable && !link.ended {
             link.read_once(&mut self.scratch);
         }
@@ -356,7 +360,7 @@
 
     /// Looks whether an idle link has been closed, or said something, that the loop has not yet told of.
     pub fn look(&mut self, id: LinkId) {
-        if let Some(link) = self.links.get_mut(id.key).filter(|link| link.serial == id.serial) {
+        if let Some(link) = find(&mut self.links, id) {
             link.read_once(&mut self.scratch);
             if link.ended || !link.input.is_empty() {
                 self.queue(id);
@@ -366,7 +370,7 @@
 
     /// Where to write what is to be sent; it leaves with the next [`Links::flush`].
     pub fn output(&mut self, id: LinkId) -> Option<&mut Vec<u8>> {
-        let link = self.links.get_mut(id.key).filter(|link| link.serial == id.serial)?;
+        let link = find(&mut self.links, id)?;
         if !link.dirty {
             link.dirty = true;
             self.dirty.push(id);
@@ -376,16 +380,17 @@
 
     /// Writes what waits, gathered for each link.
     pub fn flush(&mut self) {
-        while let Some(&id) = self.dirty.last() {
+        for id in std::mem::take(&mut self.dirty) {
             self.flush_one(id);
         }
     }
 
     /// Writes what waits on one link.
     pub fn flush_one(&mut self, id: LinkId) {
-        self.dirty.retain(|of| *of != id);
-        let Some(link) = self.get_mut(id) else { return };
-        link.dirty = false;
+        let Some(link) = find(&mut self.links, id) else { return };
+        if std::mem::take(&mut link.dirty) {
+            self.dirty.retain(|of| *of != id);
+        }
         let read_before = link.readable;
         link.flush();
         if link.readable && !read_before {
@@ -399,7 +404,7 @@
     }
 
     pub fn set_deadline(&mut self, id: LinkId, after: Option<Duration>) {
-        let Some(link) = self.links.get_mut(id.key).filter(|link| link.serial == id.serial) else { return };
+        let Some(link) = find(&mut self.links, id) else { return };
         if let Some(at) = link.deadline.take() {
             self.deadlines.remove(&(at, id));
         }
@@ -457,7 +462,11 @@
     }
 }
 
-pub(crate) fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+fn find<T>(links: &mut Slab<Link<T>>, id: LinkId) -> Option<&mut Link<T>> {
+    links.get_mut(id.key).filter(|link| link.serial == id.serial)
+}
+
+fn connect(to: SocketAddr) -> io::Result<TcpStream> {
     use socket2::{Domain, Protocol, Socket, Type};
     let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -47,6 +47,14 @@
     pub arguments: Vec<String>,
 }
 
+/// Reads the line in which a started process says where it listens.
+pub fn listens_at(out: &mut impl BufRead) -> io::Result<SocketAddr> {
+    let mut line = String::new();
+    out.read_line(&mut line)?;
+    let at = line.trim().split_once("listens at http://").and_then(|(_, at)| at.parse().ok());
+    at.ok_or_else(|| io::Error::other(format!("it did not say where it listens: {line:?}")))
+}
+
 impl Program {
     /// The lab's own program under one of its commands.
     pub fn lab(path: &Path, command: &str) -> Program {
@@ -214,12 +222,9 @@
             .stdout(Stdio::piped())
             .spawn()?;
         let out = child.stdout.take().ok_or_else(|| io::Error::other("a gateway has no output"))?;
-        let mut first = String::new();
-        BufReader::new(out).read_line(&mut first)?;
+        let first = listens_at(&mut BufReader::new(out));
         self.gateways[n].child = Some(child);
-        if !first.contains("listens at") {
-            return Err(io::Error::other(format!("gateway {n} did not start: {first:?}")));
-        }
+        first.map_err(|e| io::Error::other(format!("gateway {n} did not start: {e}")))?;
         self.recorder.see(Seen::GatewayUp { gateway: n as u64 });
         Ok(())
     }
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -186,7 +186,7 @@
     let done = match Arguments::parse().command {
         Command::Demo { listen, workers } => demo(listen, workers),
         Command::Gateway { file } => gateway(&file),
-        Command::Scheduler => scheduler(),
+        Command::Scheduler => run::start(),
         Command::Naive { file } => settings::load(&file)
             .map_err(faults)
             .and_then(|settings| naive::run(settings, |at| serve::announce(&[at]))),
@@ -299,12 +299,6 @@
     std::io::Error::other(lines.join("\n"))
 }
 
-fn scheduler() -> std::io::Result<()> {
-    let signals = run::signals()?;
-    logs::start_by_environment();
-    run::run(&run::path()?, signals, |at| serve::announce(&[at]))
-}
-
 fn gateway(file: &std::path::Path) -> std::io::Result<()> {
     let settings = settings::load(file).map_err(faults)?;
     logs::start(&settings.log);
--- a/crates/quartzdrift-lab/src/measure.rs
+++ b/crates/quartzdrift-lab/src/measure.rs
@@ -1,13 +1,14 @@
 //! What a gateway costs: calls a second, time added, memory. Each measure is one run against workers that only
 //! answer, beside the same load sent straight to one of them.
 use crate::actor;
+use crate::badday::listens_at;
 use crate::light::{self, Light};
 use crate::load::{self, Plan, Report};
 use quartzdrift_choice::choice::Scheduler;
 use quartzdrift_choice::interface::*;
 use quartzdrift_deferred::Submitted;
 use quartzdrift_store::{Change, Folder, Live, Log};
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -61,10 +62,7 @@
         std::fs::write(&file, text)?;
         let mut child = Command::new(lab).arg("gateway").arg(&file).stdout(Stdio::piped()).spawn()?;
         let out = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
-        let mut line = String::new();
-        BufReader::new(out).read_line(&mut line)?;
-        let at = line.trim().rsplit('/').next().and_then(|at| at.parse().ok());
-        let at = at.ok_or_else(|| io::Error::other(format!("the gateway did not start: {line:?}")))?;
+        let at = listens_at(&mut BufReader::new(out))?;
         Ok(Gateway { child, at, _folder: folder })
     }
 
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -4,7 +4,7 @@
 use quartzdrift_http::Response;
 use quartzdrift_lab::actor::{Running, spawn};
 use quartzdrift_lab::audit::{Rule, audit};
-use quartzdrift_lab::badday::{self, Program};
+use quartzdrift_lab::badday::{self, Program, listens_at};
 use quartzdrift_lab::load;
 use quartzdrift_lab::model::Machine;
 use quartzdrift_lab::record::{Recorder, Seen};
@@ -14,7 +14,7 @@
 use quartzdrift_lab::worker::{Command, Config, Faults, WorkerStandIn};
 use quartzdrift_members::State;
 use quartzdrift_roster::list::Listed;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command as Process, Stdio};
@@ -43,9 +43,7 @@
             .spawn()
             .unwrap();
         let mut out = BufReader::new(child.stdout.take().unwrap());
-        let mut line = String::new();
-        out.read_line(&mut line).unwrap();
-        let at = line.trim().rsplit('/').next().unwrap().parse().expect("the gateway says where it listens");
+        let at = listens_at(&mut out).expect("the gateway says where it listens");
         Gateway { child, at, out }
     }
 
--- a/crates/quartzdrift-lab/tests/platform.rs
+++ b/crates/quartzdrift-lab/tests/platform.rs
@@ -1,7 +1,8 @@
 //! A scheduler process on the platform's sockets, against stand-ins on loopback: the hard cases.
 use quartzdrift::platform::Node;
+use quartzdrift_lab::badday::listens_at;
 use quartzdrift_lab::platform::{Asked, Coordinator, Front, Reached, Received, Reply, Worker};
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -71,10 +72,7 @@
             .spawn()
             .unwrap();
         let mut out = BufReader::new(child.stdout.take().unwrap());
-        let mut line = String::new();
-        out.read_line(&mut line).unwrap();
-        let at =
-            line.trim().rsplit('/').next().unwrap().parse().expect("the scheduler says where it listens");
+        let at = listens_at(&mut out).expect("the scheduler says where it listens");
         Stage { child, at, out, file, _folder: folder, coordinator, workers }
     }
 
--- a/crates/quartzdrift-platform/src/config.rs
+++ b/crates/quartzdrift-platform/src/config.rs
@@ -41,8 +41,6 @@
     pub coordinator: SocketAddr,
     pub known: News,
     pub settings: quartzdrift_choice::interface::Settings,
-    /// Names of the values in a load report, as the settings have them.
-    pub report_names: Vec<String>,
 }
 
 fn seed(value: &Value) -> u64 {
@@ -59,8 +57,6 @@
     if settings.workloads.is_empty() {
         return Err("the settings name no class".to_owned());
     }
-    let names = raw.settings.pointer("/stats/fields").and_then(Value::as_array);
-    let names = names.into_iter().flatten().map(|name| name.as_str().unwrap_or("").to_owned());
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
@@ -68,7 +64,6 @@
         sockets: raw.limits.and_then(|limits| limits.sockets).unwrap_or(SOCKETS_UNTOLD),
         coordinator: raw.coordinator,
         known: raw.known,
-        report_names: names.collect(),
         settings,
     })
 }
@@ -76,6 +71,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use quartzdrift_choice::interface::ReportField;
 
     const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.4:8443","seed":"8c1f30d27a5be964",
         "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"coordinator":"127.2.0.1:2379",
@@ -87,7 +83,7 @@
         let config = read(GOOD.as_bytes()).unwrap();
         assert_eq!((config.seed, config.sockets), (0x8c1f_30d2_7a5b_e964, 256));
         assert_eq!(config.settings.workloads[0].name, "map");
-        assert_eq!(config.report_names, ["q"]);
+        assert_eq!(config.settings.report_fields, [ReportField::Queued]);
         for (good, bad) in [("127.0.0.4:8443", "nowhere"), ("\"map\"", "7,"), ("\"classes\"", "\"other\"")] {
             assert!(read(GOOD.replace(good, bad).as_bytes()).is_err(), "{bad}");
         }
--- a/crates/quartzdrift-platform/src/coordinator.rs
+++ b/crates/quartzdrift-platform/src/coordinator.rs
@@ -2,6 +2,7 @@
 //!
 //! A worker is known by its uid alone: another one may come to stand at the same address.
 use quartzdrift_choice::interface::State;
+use quartzdrift_roster::list::Listed;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -48,18 +49,11 @@
     boot_ms: Option<f64>,
 }
 
-/// A worker as an event tells of it.
+/// A worker as an event tells of it, under its uid, and where it stands.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Listed {
-    pub uid: String,
+pub struct Told {
+    pub listed: Listed,
     pub address: Option<SocketAddr>,
-    pub capacity_hint: Option<f64>,
-    pub cell: u32,
-    pub kind: u32,
-    pub zone: u32,
-    /// When it started, since 1970; `None`: long ago.
-    pub started: Option<Duration>,
-    pub state: State,
 }
 
 /// What one event changes.
@@ -67,7 +61,7 @@
 pub struct Change {
     /// Whoever is not named has left.
     pub all: bool,
-    pub workers: Vec<Listed>,
+    pub workers: Vec<Told>,
 }
 
 /// Why news is not believed; the list as it is stays.
@@ -96,7 +90,7 @@
 }
 
 impl Target {
-    fn listed(self, zones: &[String], kinds: &[String]) -> Listed {
+    fn told(self, zones: &[String], kinds: &[String]) -> Told {
         let state = match self.state.as_str() {
             "Ready" => State::Up,
             "Gone" => State::Gone,
@@ -104,16 +98,16 @@
             _ => State::Draining,
         };
         let boot = self.boot_ms.filter(|ms| ms.is_finite() && *ms > 0.0);
-        Listed {
-            address: self.endpoint,
-            capacity_hint: self.capacity_hint,
+        let listed = Listed {
+            capacity: self.capacity_hint,
             cell: place(&self.pod_group, &[]),
             kind: place(&self.model, kinds),
             zone: place(&self.az, zones),
             started: boot.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
-            uid: self.uid,
+            worker: self.uid,
             state,
-        }
+        };
+        Told { listed, address: self.endpoint }
     }
 }
 
@@ -146,7 +140,7 @@
             if targets.len() > TARGETS_MOST {
                 return Err(Doubt::Unreadable("too many workers in an event".to_owned()));
             }
-            let workers = targets.into_iter().map(|target| target.listed(zones, kinds)).collect();
+            let workers = targets.into_iter().map(|target| target.told(zones, kinds)).collect();
             changes.push(Change { all, workers });
         }
         self.last = last;
@@ -190,13 +184,13 @@
         let second = event(2, false, &[("a", "127.0.0.1:1", "Terminating"), ("b", "127.0.0.1:1", "Ready")]);
         let changes = read(&mut follower, &news(1, std::slice::from_ref(&first))).unwrap();
         assert!(changes[0].all);
-        let a = &changes[0].workers[0];
+        let a = &changes[0].workers[0].listed;
         assert_eq!((a.zone, a.kind, a.cell, a.state), (1, 1, 2, State::Up));
         assert_eq!(a.started, Some(Duration::from_millis(1500)));
         let changes = read(&mut follower, &news(2, &[first, second])).unwrap();
         assert_eq!(changes.len(), 1);
         let states: Vec<(&str, State)> =
-            changes[0].workers.iter().map(|listed| (&listed.uid[..], listed.state)).collect();
+            changes[0].workers.iter().map(|told| (&told.listed.worker[..], told.listed.state)).collect();
         assert_eq!(states, [("a", State::Draining), ("b", State::Up)]);
         assert_eq!(follower.last(), 2);
     }
@@ -225,6 +219,6 @@
         assert!(read(&mut follower, &news(1, &[other])).unwrap().is_empty());
         let changes =
             read(&mut follower, &news(2, &[event(2, false, &[("a", "127.0.0.1:1", "Odd")])])).unwrap();
-        assert_eq!((changes[0].workers[0].state, follower.last()), (State::Draining, 2));
+        assert_eq!((changes[0].workers[0].listed.state, follower.last()), (State::Draining, 2));
     }
 }
--- a/crates/quartzdrift-platform/src/lanes.rs
+++ b/crates/quartzdrift-platform/src/lanes.rs
@@ -34,14 +34,17 @@
 }
 
 /// Chooses among a worker's lanes. `streams`: executions that one carries at most; `may_connect`: a descriptor is
-/// left for one more.
-pub fn choose(lanes: &[Lane], streams: usize, may_connect: bool) -> Choice {
+/// left for one more, or can be won; asked only where a new connection is wanted.
+pub fn choose(lanes: &[Lane], streams: usize, may_connect: impl FnOnce() -> bool) -> Choice {
     let free = lanes.iter().enumerate().filter(|(_, lane)| lane.open < streams);
     // Of equally used ones the one that is up, so that nobody waits for a handshake without need.
     match free.min_by_key(|(_, lane)| (lane.open, !lane.up)) {
-        Some((at, lane)) if lane.open == 0 || !may_connect => Choice::Use(at),
-        Some(_) | None if may_connect => Choice::Connect,
-        Some(_) | None => Choice::Full,
+        Some((at, lane)) if lane.open == 0 => Choice::Use(at),
+        least_used => match (may_connect(), least_used) {
+            (true, _) => Choice::Connect,
+            (false, Some((at, _))) => Choice::Use(at),
+            (false, None) => Choice::Full,
+        },
     }
 }
 
@@ -52,10 +55,13 @@
     #[test]
     fn each_has_its_own_while_descriptors_last() {
         let lane = |open, up| Lane { open, up };
-        assert_eq!(choose(&[], 32, true), Choice::Connect);
-        assert_eq!(choose(&[lane(1, true), lane(0, false), lane(0, true)], 32, true), Choice::Use(2));
-        assert_eq!(choose(&[lane(1, true)], 32, true), Choice::Connect);
-        assert_eq!(choose(&[lane(3, true), lane(2, true)], 32, false), Choice::Use(1));
-        assert_eq!(choose(&[lane(32, true)], 32, false), Choice::Full);
+        assert_eq!(choose(&[], 32, || true), Choice::Connect);
+        assert_eq!(choose(&[lane(1, true), lane(0, false), lane(0, true)], 32, || true), Choice::Use(2));
+        assert_eq!(choose(&[lane(1, true)], 32, || true), Choice::Connect);
+        assert_eq!(choose(&[lane(3, true), lane(2, true)], 32, || false), Choice::Use(1));
+        assert_eq!(choose(&[lane(32, true)], 32, || false), Choice::Full);
+        // Nobody gives up a connection for a worker that has an idle one.
+        let asked = || panic!("room is asked for without need");
+        assert_eq!(choose(&[lane(1, true), lane(0, true)], 32, asked), Choice::Use(1));
     }
 }
--- a/crates/quartzdrift-platform/src/report.rs
+++ b/crates/quartzdrift-platform/src/report.rs
@@ -1,4 +1,6 @@
 //! Load reports of workers: `report=queue:7;x0:0.61` among the fields of an answer.
+use crate::settings;
+use quartzdrift_choice::interface::ReportField;
 
 /// Names that reports give to values which the settings name otherwise.
 const ALIASES: [(&str, &str); 6] = [
@@ -10,22 +12,23 @@
     ("eps", "fail_rate"),
 ];
 
-/// The values in the order of the settings; empty where there is no report, `None` where one value is missing
-/// or no number.
-pub fn read(fields: &[u8], names: &[String]) -> Vec<Option<f64>> {
+fn field(name: &str) -> ReportField {
+    settings::field(ALIASES.iter().find(|(alias, _)| *alias == name).map_or(name, |a| a.1))
+}
+
+/// The values in the order of the settings; empty where there is no report, `None` where one value is missing, no
+/// number, or of a field that we do not know.
+pub fn read(fields: &[u8], wanted: &[ReportField]) -> Vec<Option<f64>> {
     let text = std::str::from_utf8(fields).unwrap_or("");
     let Some(report) = text.split(',').find_map(|field| field.strip_prefix("report=")) else {
         return Vec::new();
     };
-    let wire = |name: &str| ALIASES.iter().find(|(alias, _)| *alias == name).map_or(name, |a| a.1).to_owned();
-    let told: Vec<(String, &str)> =
-        report.split(';').filter_map(|one| one.split_once(':')).map(|(n, v)| (wire(n), v)).collect();
-    let value = |name: &String| {
-        let wanted = wire(name);
-        let (_, value) = told.iter().find(|(told, _)| *told == wanted)?;
+    let value = |wanted: &ReportField| {
+        let mut told = report.split(';').filter_map(|one| one.split_once(':'));
+        let (_, value) = told.find(|(name, _)| field(name) == *wanted && *wanted != ReportField::Unknown)?;
         value.parse::<f64>().ok().filter(|value| value.is_finite())
     };
-    names.iter().map(value).collect()
+    wanted.iter().map(value).collect()
 }
 
 #[cfg(test)]
@@ -34,7 +37,7 @@
 
     #[test]
     fn values_come_in_the_order_of_the_settings() {
-        let names = ["q", "x0", "x1"].map(str::to_owned);
+        let names = ["q", "x0", "x1"].map(settings::field);
         let read = |text: &str| read(text.as_bytes(), &names);
         assert_eq!(read("report=x0:0.5;queue:7"), [Some(7.0), Some(0.5), None]);
         assert_eq!(read("remark=1,report=q:3;x0:nan;x1:2"), [Some(3.0), None, Some(2.0)]);
--- a/crates/quartzdrift-roster/src/list.rs
+++ b/crates/quartzdrift-roster/src/list.rs
@@ -2,7 +2,7 @@
 //!
 //! Labels read: `state` (`up`, `draining`, `gone`; none: up), `zone`, `kind` (names from the settings), `cell`
 //! and `capacity` (numbers), `started` (seconds since 1970, with fractions). Others are left alone.
-use quartzdrift_choice::interface::State;
+use quartzdrift_choice::interface::{Entry, State};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -43,6 +43,19 @@
             started: None,
         }
     }
+
+    /// As the decision module takes it.
+    pub fn entry(&self) -> Entry<'_> {
+        Entry {
+            worker: &self.worker,
+            capacity_hint: self.capacity,
+            cell: self.cell,
+            kind: self.kind,
+            zone: self.zone,
+            started: self.started,
+            state: self.state,
+        }
+    }
 }
 
 /// Names that labels may use.
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod store;
 mod workers;
 
+use crate::clock::Clock;
 use crate::record::Recorder;
 use crate::saved::{self, Saver};
 use crate::settings::Settings;
@@ -29,12 +30,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use uuid::Uuid;
 
-/// The loop looks up at least this often: a clock that another process sets ahead is noticed.
-const LOOK_UP: Duration = Duration::from_secs(1);
-
 /// Which front a job came from, and where its final answer goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -96,9 +94,7 @@
 
 pub struct Gateway {
     settings: Rc<Settings>,
-    zero: Instant,
-    /// Time since 1970 at `zero`; the clock from there on is steady.
-    epoch: Duration,
+    clock: Clock,
     /// Drawn anew at each start, whatever the seed: names of jobs are never used twice.
     identity: u64,
     drawn: u64,
@@ -132,14 +128,12 @@
 impl Gateway {
     /// A gateway with the list of workers that it last saved, or the one of the settings.
     pub fn new(settings: Settings, handle: LoopHandle<'static, Gateway>) -> std::io::Result<Gateway> {
-        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clock = Clock::start();
         let seed = settings.seed.unwrap_or_else(rand::random);
         let saver = settings.state.clone().map(Saver::start).transpose()?;
         let timers = settings.timers.iter().map(|(timer, _)| timer.clone()).collect();
         let settings = Rc::new(settings);
         let mut gateway = Gateway {
-            zero: Instant::now(),
-            epoch,
             identity: rand::random(),
             drawn: 0,
             http: Http::new(handle.clone(), settings.limits.clone()),
@@ -151,7 +145,8 @@
             in_hand: None,
             deferred: Queue::new(settings.deferred.clone(), Changes::new(settings.store.is_some()), seed),
             store: None,
-            timers: Timers::new(timers, seed, epoch),
+            timers: Timers::new(timers, seed, clock.now()),
+            clock,
             belief: Belief::default(),
             roster: roster::Source::new(&settings),
             ahead: None,
@@ -186,7 +181,7 @@
 
     /// Time since 1970, steady.
     pub fn now(&self) -> Duration {
-        self.epoch + self.zero.elapsed()
+        self.clock.now()
     }
 
     pub fn listen(&mut self, listener: std::net::TcpListener) -> std::io::Result<()> {
@@ -198,7 +193,6 @@
         if self.http.has_events() {
             return Duration::ZERO;
         }
-        let now = self.now();
         let own = [
             self.desk.next_due(),
             self.deferred_due(),
@@ -208,9 +202,7 @@
             self.fleet.as_ref().map(fleet::Fleet::next_due),
             self.stopping,
         ];
-        let own = own.into_iter().flatten().min().map(|at| at.saturating_sub(now));
-        let sockets = self.http.next_deadline().map(|at| at.saturating_duration_since(Instant::now()));
-        own.into_iter().chain(sockets).min().unwrap_or(LOOK_UP).min(LOOK_UP)
+        self.clock.until(own, [self.http.next_deadline()])
     }
 
     /// Works what the last wait of the loop brought, and all that is due.
--- a/crates/quartzdrift/src/gateway/roster.rs
+++ b/crates/quartzdrift/src/gateway/roster.rs
@@ -1,7 +1,7 @@
 //! Where the list of workers comes from: asked for now and then, and pushed over server-sent events.
 use super::{Gateway, Use};
 use crate::settings::Settings;
-use quartzdrift_choice::interface::{Discovery, Entry, ListForm};
+use quartzdrift_choice::interface::{Discovery, ListForm};
 use quartzdrift_http::{CallId, Headers, Outgoing};
 use quartzdrift_roster::belief::Believed;
 use quartzdrift_roster::list::{self, Listed};
@@ -125,16 +125,7 @@
 
     /// Hands a list to the desk.
     pub(super) fn give_list(&mut self, form: ListForm, workers: &[Listed]) {
-        let entry = |one: &Listed| Entry {
-            worker: "",
-            capacity_hint: one.capacity,
-            cell: one.cell,
-            kind: one.kind,
-            zone: one.zone,
-            started: one.started,
-            state: one.state,
-        };
-        let entries = workers.iter().map(|one| Entry { worker: &one.worker, ..entry(one) }).collect();
+        let entries = workers.iter().map(Listed::entry).collect();
         self.desk.list(self.now(), form, entries);
         self.carry_out();
     }
--- a/crates/quartzdrift/src/main.rs
+++ b/crates/quartzdrift/src/main.rs
@@ -156,7 +156,10 @@
             }
             Err(faults) => say(&faults),
         },
-        Command::Run => scheduler(),
+        Command::Run => match run::start() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => fail(&e.to_string()),
+        },
         Command::Check { file } => match settings::load(&file) {
             Ok(settings) => {
                 let (functions, workers) = (settings.functions.len(), settings.workers.len());
@@ -201,19 +204,6 @@
     }
 }
 
-/// A scheduler on the platform. Signals come first: from the very first moment none of them ends the process.
-fn scheduler() -> ExitCode {
-    let run = || {
-        let signals = run::signals()?;
-        logs::start_by_environment();
-        run::run(&run::path()?, signals, |at| serve::announce(&[at]))
-    };
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => fail(&e.to_string()),
-    }
-}
-
 /// Prints what a running gateway saves every few seconds.
 fn members(settings: &settings::Settings) -> ExitCode {
     let (Some(folder), Some(_)) = (&settings.state, &settings.fleet) else {
--- a/crates/quartzdrift/src/platform/clients.rs
+++ b/crates/quartzdrift/src/platform/clients.rs
@@ -3,7 +3,7 @@
 use quartzdrift_choice::interface::{JobId, Outcome};
 use quartzdrift_desk::{Ended, FinalAnswer, NewJob, Why};
 use quartzdrift_fastcgi::{self as fastcgi, Answer, Bad, Params, Responder, Told};
-use quartzdrift_http::links::{LinkId, Links};
+use quartzdrift_http::links::{Link, LinkId, Links};
 use quartzdrift_platform::asked::{self, Fields, Wrong};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -43,12 +43,6 @@
     limit: Limit,
 }
 
-impl Client {
-    fn closing(&self) -> bool {
-        self.limit == Limit::Closing
-    }
-}
-
 fn client(links: &mut Links<Node, Peer>, id: LinkId) -> Option<&mut Client> {
     match &mut links.get_mut(id)?.state {
         Peer::Client(client) => Some(client),
@@ -91,15 +85,10 @@
 
 impl Node {
     pub(super) fn accept(&mut self) {
-        let room = |links: &mut Links<Node, Peer>| {
-            if let Some(id) = longest_silent(links) {
-                links.set_deadline(id, Some(Duration::ZERO));
-            }
-        };
-        for stream in self.links.accept(room) {
+        for stream in self.links.accept(is_silent) {
             if self.clients >= self.budget.clients {
                 // The one that has been silent longest makes room; where none is, the newcomer is closed unread.
-                let Some(silent) = longest_silent(&self.links) else {
+                let Some(silent) = self.links.longest_silent(is_silent) else {
                     self.counts.cut += 1;
                     continue;
                 };
@@ -121,7 +110,7 @@
         let Some(link) = self.links.get_mut(id) else { return };
         let ended = link.ended();
         let Peer::Client(of) = &mut link.state else { return };
-        if of.closing() {
+        if of.limit == Limit::Closing {
             let unread = link.input.len();
             link.consume(unread);
             if ended {
@@ -171,9 +160,10 @@
         let (partial, unread) = (!link.input.is_empty(), link.waiting());
         let Peer::Client(client) = &mut link.state else { return };
         let responder = &client.responder;
-        let (limit, after) = if responder.is_spoilt() && responder.waiting().next().is_none() {
-            (Limit::Closing, Some(LAST_WORDS))
-        } else if unread > UNREAD_MOST {
+        if responder.is_spoilt() && responder.waiting().next().is_none() {
+            return self.close_after(id);
+        }
+        let (limit, after) = if unread > UNREAD_MOST {
             self.counts.cut += 1;
             return self.close_client(id);
         } else if !responder.has_asked() {
@@ -190,7 +180,13 @@
             client.limit = limit;
             self.links.set_deadline(id, after);
         }
-        if limit == Limit::Closing {
+    }
+
+    /// Closes a client's connection once what is written to it has left.
+    fn close_after(&mut self, id: LinkId) {
+        if let Some(client) = client(&mut self.links, id) {
+            client.limit = Limit::Closing;
+            self.links.set_deadline(id, Some(LAST_WORDS));
             self.closing.push(id);
         }
     }
@@ -303,15 +299,13 @@
         let unread = self.links.get(id).is_some_and(|link| link.waiting() > 0);
         let Some(client) = client(&mut self.links, id) else { return };
         let mut out = Vec::with_capacity(body.len() + 128);
-        if client.responder.answer(number, &answer, &mut out) == fastcgi::Ended::Close {
-            client.limit = Limit::Closing;
-            self.links.set_deadline(id, Some(LAST_WORDS));
-            self.closing.push(id);
-        }
+        let ended = client.responder.answer(number, &answer, &mut out);
         self.write(id, &out);
-        if unread {
+        match ended {
+            fastcgi::Ended::Close => self.close_after(id),
             // It may never be heard of again: what it does not read sets its limit.
-            self.limit_client(id);
+            fastcgi::Ended::Keep | fastcgi::Ended::NotOpen if unread => self.limit_client(id),
+            fastcgi::Ended::Keep | fastcgi::Ended::NotOpen => {}
         }
     }
 
@@ -346,13 +340,10 @@
     }
 }
 
-/// The client without a request that has been silent longest: it was taken, or had its last answer, before others.
-fn longest_silent(links: &Links<Node, Peer>) -> Option<LinkId> {
-    let silent = |(id, link): (LinkId, &quartzdrift_http::links::Link<Peer>)| match &link.state {
-        Peer::Client(client) if client.jobs.is_empty() && client.limit != Limit::Closing => {
-            Some((link.heard(), id))
-        }
-        Peer::Client(_) | Peer::Lane(_) => None,
-    };
-    links.iter().filter_map(silent).min_by_key(|(heard, _)| *heard).map(|(_, id)| id)
+/// A client without a request, which may make room for another.
+fn is_silent(link: &Link<Peer>) -> bool {
+    match &link.state {
+        Peer::Client(client) => client.jobs.is_empty() && client.limit != Limit::Closing,
+        Peer::Lane(_) => false,
+    }
 }
--- a/crates/quartzdrift/src/platform/coordinator.rs
+++ b/crates/quartzdrift/src/platform/coordinator.rs
@@ -1,8 +1,8 @@
 //! The list of workers: one long poll that is always out, and what its answers change.
 use super::Node;
-use quartzdrift_choice::interface::{Entry, ListForm, State};
+use quartzdrift_choice::interface::{ListForm, State};
 use quartzdrift_http::{CallId, Failure, Headers, Outgoing, Response};
-use quartzdrift_platform::coordinator::{Change, Doubt, Follower, Listed, News};
+use quartzdrift_platform::coordinator::{Change, Doubt, Follower, News, Told};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,7 +68,8 @@
     fn poll_failed(&mut self, why: &str) {
         let failures = self.coordinator.failures;
         self.coordinator.call = None;
-        self.coordinator.at = self.now() + (AGAIN * (1 << failures.min(5))).min(AGAIN_MOST);
+        self.coordinator.at =
+            self.now() + AGAIN.saturating_mul(2_u32.saturating_pow(failures)).min(AGAIN_MOST);
         self.coordinator.failures += 1;
         tracing::debug!(why, failures, "a poll of the coordinator failed; the list stands");
         if failures == 0 {
@@ -141,32 +142,22 @@
     fn changes(&mut self, changes: Vec<Change>) {
         for Change { all, workers } in changes {
             if all {
-                let named = |uid: &str| workers.iter().any(|listed| listed.uid == uid);
+                let named = |uid: &str| workers.iter().any(|told| told.listed.worker == uid);
                 let left: Vec<Rc<str>> = self.workers.keys().filter(|uid| !named(uid)).cloned().collect();
                 left.iter().for_each(|uid| self.worker_gone(uid));
             }
-            for listed in &workers {
-                match (listed.state, listed.address) {
-                    (State::Up | State::Draining, Some(address)) => self.worker_listed(&listed.uid, address),
-                    (State::Gone, _) => self.worker_gone(&listed.uid),
+            for Told { listed, address } in &workers {
+                match (listed.state, address) {
+                    (State::Up | State::Draining, Some(address)) => {
+                        self.worker_listed(&listed.worker, *address)
+                    }
+                    (State::Gone, _) => self.worker_gone(&listed.worker),
                     (State::Up | State::Draining, None) => {}
                 }
             }
-            let entries = workers.iter().map(entry).collect();
+            let entries = workers.iter().map(|told| told.listed.entry()).collect();
             self.desk.list(self.now(), if all { ListForm::Full } else { ListForm::Changes }, entries);
             self.carry_out();
         }
     }
 }
-
-fn entry(listed: &Listed) -> Entry<'_> {
-    Entry {
-        worker: &listed.uid,
-        capacity_hint: listed.capacity_hint,
-        cell: listed.cell,
-        kind: listed.kind,
-        zone: listed.zone,
-        started: listed.started,
-        state: listed.state,
-    }
-}
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -9,10 +9,11 @@
 pub mod run;
 mod workers;
 
+use crate::clock::Clock;
 use calloop::LoopHandle;
 use clients::Client;
 use coordinator::Coordinator;
-use quartzdrift_choice::interface::{JobId, ListForm};
+use quartzdrift_choice::interface::{JobId, ListForm, Outcome};
 use quartzdrift_desk::{Desk, Output};
 use quartzdrift_http::links::{LinkId, Links};
 use quartzdrift_http::{HasHttp, Http, HttpEvent, Limits};
@@ -20,11 +21,11 @@
 use quartzdrift_platform::config::Config;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use workers::{Lane, Worker};
 
-/// The loop looks up at least this often.
-const LOOK_UP: Duration = Duration::from_secs(1);
+/// Between two looks at whether beliefs and sockets agree.
+const COMPARE: Duration = Duration::from_secs(1);
 /// After SIGTERM clients go on coming for up to 0.6 s; the rest is room for a slow machine.
 const STAY: Duration = Duration::from_millis(1200);
 
@@ -69,9 +70,7 @@
 pub struct Node {
     config: Config,
     path: std::path::PathBuf,
-    zero: Instant,
-    /// Time since 1970 at `zero`; the clock from there on is steady.
-    epoch: Duration,
+    clock: Clock,
     links: Links<Node, Peer>,
     http: Http<Node>,
     desk: Desk<Rc<Work>>,
@@ -102,12 +101,10 @@
 impl Node {
     /// A scheduler with the list of workers that its configuration knows. `path`: where a new one is read from.
     pub fn new(config: Config, path: std::path::PathBuf, handle: LoopHandle<'static, Node>) -> Node {
-        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let limits = Limits { connections: 0, connections_each: 4, ..Limits::default() };
         let mut node = Node {
             path,
-            zero: Instant::now(),
-            epoch,
+            clock: Clock::start(),
             links: Links::new(handle.clone(), |node| &mut node.links),
             http: Http::new(handle, limits),
             desk: Desk::new(&config.settings, config.seed),
@@ -134,7 +131,7 @@
 
     /// Time since 1970, steady.
     pub fn now(&self) -> Duration {
-        self.epoch + self.zero.elapsed()
+        self.clock.now()
     }
 
     pub fn listen(&mut self, listener: std::net::TcpListener) -> std::io::Result<()> {
@@ -146,13 +143,9 @@
         if self.http.has_events() {
             return Duration::ZERO;
         }
-        let now = self.now();
-        let own = [self.desk.next_due(), self.coordinator.next_due(), stay_ends(self.stopping, now)];
-        let own = own.into_iter().flatten().min().map(|at| at.saturating_sub(now));
-        let sockets = [self.links.next_due(), self.http.next_deadline()];
-        let sockets =
-            sockets.into_iter().flatten().min().map(|at| at.saturating_duration_since(Instant::now()));
-        own.into_iter().chain(sockets).min().unwrap_or(LOOK_UP).min(LOOK_UP)
+        let stay_ends = stay_ends(self.stopping, self.now());
+        let own = [self.desk.next_due(), self.coordinator.next_due(), stay_ends];
+        self.clock.until(own, [self.links.next_due(), self.http.next_deadline()])
     }
 
     /// Works what the last wait of the loop brought, and all that is due.
@@ -197,7 +190,7 @@
 
     /// Where the log is to hear of it: what desk and module believe is out and open, against what the sockets hold.
     fn compare(&mut self, now: Duration) {
-        if now < self.compared + LOOK_UP || !tracing::enabled!(tracing::Level::DEBUG) {
+        if now < self.compared + COMPARE || !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
         self.compared = now;
@@ -245,8 +238,7 @@
             Output::Log { text } => tracing::info!(text, "decision"),
             // The platform's list comes on its own, and its settings allow neither orders nor probes.
             Output::Probe { order, .. } | Output::Load { order, .. } => {
-                let none = quartzdrift_choice::interface::Outcome::Moot;
-                self.desk.order_ended(self.now(), order, none, 0, Vec::new());
+                self.desk.order_ended(self.now(), order, Outcome::Moot, 0, Vec::new());
             }
             Output::WithdrawOrder { .. }
             | Output::DropOrder { .. }
--- a/crates/quartzdrift/src/platform/run.rs
+++ b/crates/quartzdrift/src/platform/run.rs
@@ -1,27 +1,28 @@
 //! Starts a scheduler by the platform's configuration and runs it until it is told to stop.
 use super::Node;
+use crate::{logs, serve};
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 /// Names the configuration's file in the environment.
-pub const CONFIG: &str = "GW_CONFIG";
+const CONFIG: &str = "GW_CONFIG";
 
-/// SIGTERM, SIGINT and SIGHUP as events. To be made first of all, so that none of them ends the process.
-pub fn signals() -> io::Result<Signals> {
-    Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(io::Error::other)
-}
-
-/// The configuration's file as the platform names it.
-pub fn path() -> io::Result<PathBuf> {
+/// Runs as the platform starts it, by its environment, and says on standard output where it listens. Signals come
+/// first: from the very first moment none of them ends the process.
+pub fn start() -> io::Result<()> {
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(io::Error::other)?;
+    logs::start_by_environment();
     let named = std::env::var_os(CONFIG).filter(|path| !path.is_empty());
-    named.map(PathBuf::from).ok_or_else(|| io::Error::other(format!("{CONFIG} names no configuration")))
+    let path = named.ok_or_else(|| io::Error::other(format!("{CONFIG} names no configuration")))?;
+    run(Path::new(&path), signals, |at| serve::announce(&[at]))
 }
 
 /// Serves by the configuration at `path`; `ready` is given the address that is listened at.
-pub fn run(path: &Path, signals: Signals, ready: impl FnOnce(SocketAddr)) -> io::Result<()> {
+fn run(path: &Path, signals: Signals, ready: impl FnOnce(SocketAddr)) -> io::Result<()> {
     let told = |what: &str| io::Error::other(format!("{}: {what}", path.display()));
     let bytes = std::fs::read(path).map_err(|e| told(&e.to_string()))?;
     let config = quartzdrift_platform::config::read(&bytes).map_err(|e| told(&e))?;
--- a/crates/quartzdrift/src/platform/workers.rs
+++ b/crates/quartzdrift/src/platform/workers.rs
@@ -1,9 +1,9 @@
 //! Lanes to workers and the executions on them. What each end proves is the table in
 //! `quartzdrift_platform::proof`; which lane carries an execution is chosen in `quartzdrift_platform::lanes`.
 use super::{Node, Peer, Work};
-use quartzdrift_choice::interface::{Found, JobId, Outcome};
+use quartzdrift_choice::interface::{Found, JobId};
 use quartzdrift_desk::Ended;
-use quartzdrift_http::links::{LinkId, Links};
+use quartzdrift_http::links::{Link, LinkId, Links};
 use quartzdrift_platform::frame::{self, Code};
 use quartzdrift_platform::lanes::{self, Choice};
 use quartzdrift_platform::proof::{self, Cut};
@@ -122,7 +122,7 @@
     fn send(&mut self, worker: &Rc<str>, mut command: Command) {
         let Some(id) = self.lane_for(worker) else {
             let (job, execution) = (command.job, command.execution);
-            let ended = Ended::silent(Outcome::ConnectFailed);
+            let ended = Ended::silent(proof::cut(Cut::NotConnected));
             // Whoever carries out the desk's words hears of it next.
             return self.desk.ended(self.now(), job, execution, ended);
         };
@@ -172,7 +172,7 @@
                 Some(Peer::Client(_)) | None => lanes::Lane { open: usize::MAX, up: false },
             };
             let seen: Vec<lanes::Lane> = ids.iter().map(seen).collect();
-            let room = self.lanes < self.budget.workers || self.spare_lane(worker);
+            let room = || self.lanes < self.budget.workers || self.spare_lane(worker);
             match lanes::choose(&seen, streams, room) {
                 Choice::Use(at) => {
                     // One that the worker has closed meanwhile looks writable: what is sent there would be in doubt.
@@ -202,7 +202,7 @@
 
     /// With all descriptors of the workers' side in use: closes the lane of another worker that has rested longest.
     fn spare_lane(&mut self, but: &Rc<str>) -> bool {
-        let rests = |(id, link): (LinkId, &quartzdrift_http::links::Link<Peer>)| match &link.state {
+        let rests = |(id, link): (LinkId, &Link<Peer>)| match &link.state {
             Peer::Lane(lane) => {
                 let idle = lane.stage == Stage::Up && lane.commands.is_empty() && lane.worker != *but;
                 idle.then_some((lane.rests, id))
@@ -375,7 +375,7 @@
                 continue;
             };
             let command = of.commands.swap_remove(at);
-            let report = report::read(answer.fields, &self.config.report_names);
+            let report = report::read(answer.fields, &self.config.settings.report_fields);
             let body = (answer.code == Code::Done).then(|| answer.body.to_vec());
             ended.push((command, Ended { outcome, found: Found::Untold, crowd: None, report }, body));
         };
