Settings and lines that a rule rests on are refused or read as what binds most

Change: the one reader of adapter and daemon returns an error for what cannot be read or is told in part, and the program ends with it, non-zero; what is not told or not known counts as what binds most. The adapter takes an unknown outcome for one that may have run, a list of unknown form for changes, an entry without state for a worker that has gone.

--- a/crates/quartzdrift-adapter/src/main.rs
+++ b/crates/quartzdrift-adapter/src/main.rs
@@ -6,6 +6,7 @@
 use quartzdrift_choice::interface::*;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
 use std::time::Duration;
 use wire::Line;
 
@@ -16,9 +17,21 @@
     reply: String,
 }
 
+/// A line that could not be worked: passed over with a message, or the end, where jobs would go unanswered.
+enum Fault {
+    Line(String),
+    Settings(String),
+}
+
+impl From<String> for Fault {
+    fn from(why: String) -> Fault {
+        Fault::Line(why)
+    }
+}
+
 impl Host {
-    /// Carries out one event; `Err` says what of the line could not be read.
-    fn event(&mut self, line: &Line, entries: Vec<Entry>) -> Result<(), String> {
+    /// Carries out one event.
+    fn event(&mut self, line: &Line, entries: Vec<Entry>) -> Result<(), Fault> {
         let need = |key: &'static str| move || format!("'{key}' is missing or unreadable");
         let instance = match line.name {
             "open_instance" | "detach" | "targets" | "req" | "fired" | "sampled" | "answer" | "started"
@@ -31,9 +44,9 @@
         let took = || line.span("cost-time-ns").unwrap_or_default();
         let event = match line.name {
             "open_instance" => {
-                let told = line.to_end("boot-info").ok_or_else(need("boot-info"))?;
-                let told = serde_json::from_str(told).map_err(|e| format!("'boot-info': {e}"))?;
-                let settings = quartzdrift_platform::settings::read(&told);
+                let told = line.to_end("boot-info").unwrap_or("");
+                let told = serde_json::from_str(told).map_err(|e| Fault::Settings(e.to_string()))?;
+                let settings = quartzdrift_platform::settings::read(&told).map_err(Fault::Settings)?;
                 let seed = line.count("nonce64").ok_or_else(need("nonce64"))?;
                 self.instances.insert(instance, Scheduler::new(&settings, seed));
                 return Ok(());
@@ -48,13 +61,18 @@
                     Some("FULL") => ListForm::Full,
                     Some("SAVED") => ListForm::Saved,
                     Some("FAILED") => ListForm::Failed,
-                    _ => return Err(need("form")()),
+                    other => {
+                        // Passed over, it could hide a drain.
+                        eprintln!("a list of form {other:?} is taken for changes");
+                        ListForm::Changes
+                    }
                 },
                 entries,
             },
             "req" => Event::Job(JobAsked {
                 job: job()?,
-                workload: line.count("tier-class").unwrap_or(0),
+                // One that cannot be read is none of ours: some other's rule on repeats would be kept for it.
+                workload: line.text("tier-class").map_or(0, |told| told.parse().unwrap_or(u32::MAX)),
                 customer: line.count("user-group").unwrap_or(0),
                 function: line.text("image").unwrap_or(""),
                 left: line.span("grace-ns").unwrap_or_default(),
@@ -77,7 +95,11 @@
                     job: job()?,
                     execution: line.count("seq-no").unwrap_or(0),
                     worker: worker()?,
-                    outcome: outcome()?,
+                    // Passed over, its job would go unanswered: it may have run.
+                    outcome: outcome().unwrap_or_else(|why| {
+                        eprintln!("job {}: {why}; it is taken for an error", line.text("tid").unwrap_or(""));
+                        Outcome::Error
+                    }),
                     took: took(),
                     over: line.flag("no-more"),
                     found,
@@ -112,8 +134,8 @@
         Ok(())
     }
 
-    /// Works one batch, given without its closing line.
-    fn batch(&mut self, text: &str) {
+    /// Works one batch, given without its closing line; `Err` where it cannot go on.
+    fn batch(&mut self, text: &str) -> Result<(), String> {
         self.reply.clear();
         let mut lines = text.lines().peekable();
         while let Some(text) = lines.next() {
@@ -133,29 +155,93 @@
                     Some(at) => self.now = at,
                     None => eprintln!("cannot read line: {text}: 'moment-ns' is missing or unreadable"),
                 }
-            } else if let Err(why) = self.event(&line, entries) {
-                eprintln!("cannot read line: {text}: {why}");
+            } else {
+                match self.event(&line, entries) {
+                    Ok(()) => {}
+                    Err(Fault::Line(why)) => eprintln!("cannot read line: {text}: {why}"),
+                    Err(Fault::Settings(why)) => return Err(why),
+                }
             }
         }
         self.reply.push_str("ack\n");
+        Ok(())
     }
 }
 
-fn main() -> io::Result<()> {
-    let mut input = io::stdin().lock();
-    let mut output = io::stdout().lock();
+/// Works what comes in to its end, or to settings that cannot be kept to.
+fn host(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     let mut host = Host::default();
     let mut batch = Vec::new();
     loop {
         let start = batch.len();
-        if input.read_until(b'\n', &mut batch)? == 0 {
+        if input.read_until(b'\n', &mut batch).map_err(|e| e.to_string())? == 0 {
             return Ok(());
         }
         if batch[start..].trim_ascii_end() == b"commit" {
-            host.batch(&String::from_utf8_lossy(&batch[..start]));
-            output.write_all(host.reply.as_bytes())?;
-            output.flush()?;
+            let worked = host.batch(&String::from_utf8_lossy(&batch[..start]));
+            worked.map_err(|why| format!("the settings cannot be used: {why}"))?;
+            let written = output.write_all(host.reply.as_bytes()).and_then(|()| output.flush());
+            written.map_err(|e| e.to_string())?;
             batch.clear();
         }
     }
 }
+
+fn main() -> ExitCode {
+    match host(io::stdin().lock(), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const START: &str = "sync\tmoment-ns=1000000\nopen_instance\ti=0\tnonce64=7\tboot-info=SETTINGS\n\
+        targets\ti=0\tform=SAVED\tlines=1\nworker\tworker=10.0.0.1:1\thealth=up\ncommit\n";
+    const SETTINGS: &str = r#"{"registry-mode":"push","classes":[{"effect":"retryable"}]}"#;
+
+    fn play(settings: &str, then: &str) -> Result<String, String> {
+        let mut out = Vec::new();
+        let text = format!("{}{then}commit\n", START.replace("SETTINGS", settings));
+        host(text.as_bytes(), &mut out).map(|()| String::from_utf8(out).unwrap())
+    }
+
+    #[test]
+    fn settings_that_cannot_be_used_end_it_with_a_message() {
+        for bad in ["", "{", "[]", "{}", r#"{"classes":[{"window-ns":"long"}]}"#] {
+            let why = play(bad, "").expect_err(bad);
+            assert!(why.starts_with("the settings cannot be used: "), "{why}");
+        }
+        assert!(play(SETTINGS, "").is_ok());
+    }
+
+    #[test]
+    fn what_cannot_be_read_leaves_no_job_without_an_answer() {
+        let job = "req\ti=0\ttid=5\timage=f\tgrace-ns=1000000000\n";
+        let sent = play(SETTINGS, job).unwrap();
+        assert!(sent.contains("pass_on\ti=0\ttid=5\tworker=10.0.0.1:1"), "{sent}");
+        let told = format!("{job}answer\ti=0\ttid=5\tseq-no=0\tworker=10.0.0.1:1\tdisposition=eaten\n");
+        assert!(play(SETTINGS, &told).unwrap().contains("push_back\ti=0\ttid=5"));
+        let once = SETTINGS.replace("retryable", "fragile");
+        assert!(play(&once, &told).unwrap().contains("drop_request\ti=0\ttid=5"), "it may have run");
+        let class = play(SETTINGS, &job.replace("image", "tier-class=-1\timage")).unwrap();
+        assert!(class.contains("push_back\ti=0\ttid=5") && !class.contains("pass_on"), "{class}");
+    }
+
+    #[test]
+    fn news_of_a_list_that_cannot_be_read_whole_still_ends_what_goes_to_a_worker() {
+        let job = "req\ti=0\ttid=5\timage=f\tgrace-ns=1000000000\n";
+        for news in [
+            "form=NEW\tlines=1\nworker\tworker=10.0.0.1:1\thealth=draining",
+            "form=INCREMENTAL\tlines=1\nworker\tworker=10.0.0.1:1",
+        ] {
+            let sent = play(SETTINGS, &format!("targets\ti=0\t{news}\n{job}")).unwrap();
+            assert!(sent.contains("push_back\ti=0\ttid=5") && !sent.contains("pass_on"), "{sent}");
+        }
+    }
+}
--- a/crates/quartzdrift-adapter/src/wire.rs
+++ b/crates/quartzdrift-adapter/src/wire.rs
@@ -90,9 +90,10 @@
             kind: self.count("generation-hw").unwrap_or(0),
             zone: self.count("az").unwrap_or(0),
             started: self.span("came-up-ns").filter(|at| !at.is_zero()),
-            state: match self.text("health")? {
-                "up" => State::Up,
-                "draining" => State::Draining,
+            // What is not said to be up gets nothing.
+            state: match self.text("health") {
+                Some("up") => State::Up,
+                Some("draining") => State::Draining,
                 _ => State::Gone,
             },
         })
--- a/crates/quartzdrift-platform/src/config.rs
+++ b/crates/quartzdrift-platform/src/config.rs
@@ -53,10 +53,7 @@
 /// Reads a configuration; the error says in one line what is wrong with it.
 pub fn read(bytes: &[u8]) -> Result<Config, String> {
     let raw: Raw = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
-    let settings = crate::settings::read(&raw.settings);
-    if settings.workloads.is_empty() {
-        return Err("the settings name no class".to_owned());
-    }
+    let settings = crate::settings::read(&raw.settings)?;
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
--- a/crates/quartzdrift-platform/src/settings.rs
+++ b/crates/quartzdrift-platform/src/settings.rs
@@ -1,4 +1,5 @@
 //! The settings object of the platform, put into the interface's words: one reader for adapter and daemon.
+//! What a rule rests on is refused where it cannot be read; what is not told counts as what binds most.
 use quartzdrift_choice::interface::*;
 use serde_json::Value;
 use std::time::Duration;
@@ -8,7 +9,9 @@
 }
 
 fn count(from: &Value, key: &str) -> Option<u32> {
-    from.get(key)?.as_u64().and_then(|n| n.try_into().ok())
+    let value = from.get(key)?;
+    let whole = value.as_u64().or_else(|| value.as_f64().map(|n| n as u64));
+    whole.map(|n| n.try_into().unwrap_or(u32::MAX))
 }
 
 fn span(from: &Value, key: &str) -> Option<Duration> {
@@ -33,6 +36,59 @@
     from.get(key).and_then(Value::as_array).into_iter().flatten()
 }
 
+/// Figures that the rules rest on: read wrongly, they would bind nothing.
+const RULING: [(&str, &[&str]); 5] = [
+    ("", &["replicas-of-me"]),
+    ("allowed", &["max-attempts", "max-retry-after-ns"]),
+    (
+        "safety",
+        &[
+            "answer-slack-ns",
+            "ask-within-ns",
+            "cold-from",
+            "cold-ns",
+            "drain-grace-ns",
+            "fall-multiple",
+            "fall-ns",
+        ],
+    ),
+    ("family-info", &["load-free", "load-period-ns", "load-share", "stays-loaded-ns"]),
+    ("classes", &["deadline-ns", "on-time-ns", "window-ns"]),
+];
+
+/// What is wrong with settings that no scheduler can keep the rules by.
+fn fault(all: &Value) -> Option<String> {
+    if !all.is_object() {
+        return Some("the settings are no object".to_owned());
+    }
+    if list(all, "classes").next().is_none() {
+        return Some("the settings name no class".to_owned());
+    }
+    for (part, keys) in RULING {
+        let within = match part {
+            "" => vec![all],
+            "classes" => list(all, part).collect(),
+            _ => all.get(part).into_iter().collect(),
+        };
+        for (from, key) in within.iter().flat_map(|from| keys.iter().map(move |key| (from, key))) {
+            if from.get(key).is_some_and(|value| value.as_f64().is_none_or(|n| n < 0.0)) {
+                let part = if part.is_empty() { "settings" } else { part };
+                return Some(format!("{part}: '{key}' is {}, no number from 0 on", from[key]));
+            }
+        }
+    }
+    let tells = |part: &str, keys: &[&str]| {
+        all.get(part).is_some_and(|part| keys.iter().any(|key| part.get(key).is_some()))
+    };
+    if tells("safety", &["cold-from", "fall-multiple", "fall-ns"]) && !tells("safety", &["cold-ns"]) {
+        return Some("safety: the rule for cold workers is told without 'cold-ns'".to_owned());
+    }
+    if tells("family-info", &["load-free", "load-share"]) && !tells("family-info", &["load-period-ns"]) {
+        return Some("family-info: the ration of loads is told without 'load-period-ns'".to_owned());
+    }
+    None
+}
+
 fn names(from: &Value, key: &str) -> Vec<String> {
     list(from, key).map(|name| name.as_str().unwrap_or("").to_owned()).collect()
 }
@@ -51,8 +107,9 @@
         importance: number(from, "importance"),
         late_share: number(from, "late-worth"),
         group: match word(from, "key-scope") {
-            "all" | "" => Group::All,
+            "all" => Group::All,
             "zone" => Group::Zone,
+            // Untold or not known: the narrowest.
             _ => Group::Cell,
         },
         window: span(from, "window-ns"),
@@ -75,15 +132,19 @@
     }
 }
 
-/// Reads the settings object, as the simulator's first message and a scheduler's configuration hold it.
-pub fn read(all: &Value) -> Settings {
+/// Reads the settings object, as the simulator's first message and a scheduler's configuration hold it. The error
+/// says in one line what no scheduler can keep the rules by.
+pub fn read(all: &Value) -> Result<Settings, String> {
+    if let Some(fault) = fault(all) {
+        return Err(fault);
+    }
     let none = Value::Null;
     let part = |key: &str| all.get(key).unwrap_or(&none);
     let (allowed, rules, copies) = (part("allowed"), part("safety"), part("family-info"));
     let (prices, goal, reports) = (part("fees"), part("goal"), part("stats"));
     let price = |key: &str| number(prices, key).unwrap_or(0.0);
     let weight = |key: &str| number(goal, key).unwrap_or(0.0);
-    Settings {
+    Ok(Settings {
         me: count(all, "me"),
         schedulers: count(all, "replicas-of-me"),
         zone: count(all, "zone"),
@@ -94,8 +155,9 @@
         family: word(all, "workload").to_owned(),
         resolution: span(all, "resolution-ns"),
         discovery: match word(all, "registry-mode") {
-            "ask" => Discovery::Ask,
-            _ => Discovery::Push,
+            "push" => Discovery::Push,
+            // Untold or not known: a subscription is allowed everywhere, a list that nobody sends is stale.
+            _ => Discovery::Ask,
         },
         weights: match word(all, "weight-kind") {
             "nominal" => Weights::Nominal,
@@ -181,5 +243,68 @@
             worst_workload: weight("worst-class"),
             worst_customer: weight("worst-tenant"),
         },
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn good() -> Value {
+        json!({
+            "allowed": {"max-attempts": 3, "max-retry-after-ns": 2_000_000_000u64},
+            "classes": [{"effect": "dedup", "key-scope": "all", "deadline-ns": 3e9, "window-ns": 5e9}],
+            "family-info": {"load-free": 6, "load-share": 0.15, "load-period-ns": 5e9, "may-order": true},
+            "registry-mode": "push",
+            "safety": {"cold-from": 0.15, "cold-ns": 18e9, "fall-multiple": 3, "fall-ns": 2e9},
+        })
+    }
+
+    /// The good settings with one value set, or left out where it is `None`.
+    fn with(part: &str, key: &str, value: Option<Value>) -> Result<Settings, String> {
+        let mut all = good();
+        let from = match part {
+            "" => &mut all,
+            "classes" => &mut all["classes"][0],
+            _ => &mut all[part],
+        };
+        match value {
+            Some(value) => from[key] = value,
+            None => drop(from.as_object_mut().unwrap().remove(key)),
+        }
+        read(&all)
+    }
+
+    #[test]
+    fn what_rules_rest_on_is_refused_where_it_cannot_be_read() {
+        assert!(read(&good()).is_ok());
+        for (part, keys) in RULING {
+            for key in keys {
+                for bad in [json!("3"), json!(-1), json!(null), json!([3]), json!(true)] {
+                    let why = with(part, key, Some(bad.clone())).expect_err(key);
+                    assert!(why.contains(key) && !why.contains('\n'), "{key} {bad}: {why}");
+                }
+                assert!(with(part, key, Some(json!(0))).is_ok(), "{key} may be nothing");
+                assert!(with(part, key, Some(json!(1e300))).is_ok(), "{key} may be large");
+            }
+        }
+        for (part, key) in [("", "classes"), ("safety", "cold-ns"), ("family-info", "load-period-ns")] {
+            assert!(with(part, key, None).is_err(), "{key} is missing");
+        }
+        assert!(read(&json!([])).is_err() && read(&json!({"classes": []})).is_err());
+    }
+
+    #[test]
+    fn what_is_not_told_or_not_known_counts_as_what_binds_most() {
+        for word in [None, Some(json!("")), Some(json!("planet")), Some(json!(7))] {
+            assert_eq!(with("classes", "key-scope", word.clone()).unwrap().workloads[0].group, Group::Cell);
+            assert_eq!(with("classes", "effect", word.clone()).unwrap().workloads[0].effect, Effect::RunOnce);
+            assert_eq!(with("", "registry-mode", word).unwrap().discovery, Discovery::Ask);
+        }
+        assert_eq!(with("allowed", "max-attempts", None).unwrap().allowed.max_executions, None);
+        let most = with("allowed", "max-attempts", Some(json!(1e12))).unwrap().allowed.max_executions;
+        assert_eq!(most, Some(u32::MAX));
+        assert_eq!(with("classes", "window-ns", None).unwrap().workloads[0].window, None);
     }
 }
