Cold budget by what warm workers of the same kind take

Cause: the budget was the mean that a worker finishes, over the whole fleet. Where kinds of machine differ in size, a small cold one was allowed the share of the mean: a quarter of the mean's size would get four times its own, over the rule's multiple at any usual load.

Change: what was finished a second and how many are up are kept for each kind beside the whole; a cold worker's budget rests on the lesser. Kinds never finished on get nothing until they are warm. A deployment of one kind decides as before.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -6,7 +6,7 @@
 //! inboxes; one loop empties them all before the next event. A job is a call for offers to every worker: set
 //! aside those past the overload bound, rank the rest by cache status, then by fewest estimated jobs.
 use crate::interface::*;
-use crate::measure::{Fading, Histogram, Shares, Window};
+use crate::measure::{Histogram, Peak, Shares, Window};
 use crate::names::{Names, hash, place};
 use crate::notes::*;
 use crate::post::Post;
@@ -362,9 +362,10 @@
     /// By kind of machine: executions that found a copy, and their times against their workload's mean.
     done: Shares,
     took: Shares,
-    /// The most finished a second and the most workers up: what workers can surely do, also in a jam.
-    peak: Fading,
-    most_listed: usize,
+    /// The most finished a second and the most workers up, what workers can surely do also in a jam: the
+    /// fleet's and, by kind of machine, that of workers alike.
+    peaks: BTreeMap<Option<u32>, Peak>,
+    most_up: BTreeMap<Option<u32>, usize>,
     /// Each customer's part of what all may ask.
     parts: Vec<f64>,
     drawn: u64,
@@ -631,9 +632,11 @@
                     self.took.add(machine, took.as_secs_f64() / mean.as_secs_f64(), now);
                 }
                 let (workload, customer) = (job.workload, job.customer as usize);
-                self.finished.add(customer, self.weight(workload), now);
-                let more = self.finished.per_second(now) - self.peak.now(now, SWEEP);
-                self.peak.add(more.max(0.0), now, SWEEP);
+                let (weight, machine) = (self.weight(workload), self.workers[worker].listing.kind);
+                self.finished.add(customer, weight, now);
+                for of in [None, Some(machine)] {
+                    self.peaks.entry(of).or_insert(Peak::new(RATE_HALF, SWEEP)).add(weight, now);
+                }
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
                 job.may_have_run.get_or_insert((worker, sent));
@@ -673,23 +676,38 @@
         if std::mem::take(&mut self.relist) {
             let listed = self.workers.iter().filter(|w| w.listing.state != State::Gone);
             self.listed = listed.map(|w| w.ix).collect();
+            let mut up = BTreeMap::new();
+            for worker in self.workers.iter().filter(|w| w.listing.state == State::Up) {
+                [None, Some(worker.listing.kind)].iter().for_each(|&of| *up.entry(of).or_insert(0) += 1);
+            }
+            for (of, count) in up {
+                self.most_up.entry(of).and_modify(|most| *most = count.max(*most)).or_insert(count);
+            }
         }
         if !may_send || spent || job.give_up < self.now + USELESS || self.listed.is_empty() {
             return self.conclude(id);
         }
         let ran = job.may_have_run.filter(|_| kind.effect == Effect::Fingerprinted);
         let confined = ran.map(|(worker, _)| (kind.group, self.workers[worker].listing));
-        let listed =
-            self.listed.iter().filter(|&&ix| self.workers[ix].listing.state == State::Up).count().max(1);
-        self.most_listed = self.most_listed.max(listed);
-        let fair_rate = self.peak.now(self.now, SWEEP) / self.most_listed as f64;
         let &Job { workload, customer, function, .. } = job;
         let (risks, weight) = (self.may_go_on(job, 1), self.weight(workload));
+        let fair_rate = self.can_do(None);
         let call = Call { workload, customer, function, confined, risks, weight, fair_rate };
         self.offers.clear();
         self.calling = Some((id, call));
         self.waiting = self.listed.len();
-        self.listed.iter().for_each(|ix| self.post.put(ix + 1, Note::Call(call)));
+        for &ix in &self.listed {
+            // Guards against a small cold worker pushed over by what the mean of larger ones takes.
+            let (cold, kind) = (self.workers[ix].cold_since.is_some(), self.workers[ix].listing.kind);
+            let fair_rate = if cold { fair_rate.min(self.can_do(Some(kind))) } else { fair_rate };
+            self.post.put(ix + 1, Note::Call(Call { fair_rate, ..call }));
+        }
+    }
+
+    /// What each worker of a kind, or of all, surely takes a second.
+    fn can_do(&self, of: Option<u32>) -> f64 {
+        let peak = self.peaks.get(&of).map_or(0.0, |peak| peak.now(self.now));
+        peak / self.most_up.get(&of).map_or(1.0, |&most| most as f64)
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -134,3 +134,27 @@
         self.all(now) * std::f64::consts::LN_2 / self.half.as_secs_f64() / seen
     }
 }
+
+/// The most that was added a second, of which half is forgotten in each span `fade`.
+#[derive(Clone, Debug, Default)]
+pub struct Peak {
+    sums: Shares,
+    fade: Duration,
+    most: Fading,
+}
+
+impl Peak {
+    pub fn new(half: Duration, fade: Duration) -> Peak {
+        Peak { sums: Shares::new(half), fade, most: Fading::default() }
+    }
+
+    pub fn add(&mut self, amount: f64, now: Duration) {
+        self.sums.add(0, amount, now);
+        let more = self.sums.per_second(now) - self.now(now);
+        self.most.add(more.max(0.0), now, self.fade);
+    }
+
+    pub fn now(&self, now: Duration) -> f64 {
+        self.most.now(now, self.fade)
+    }
+}
--- a/crates/quartzdrift-choice/src/notes.rs
+++ b/crates/quartzdrift-choice/src/notes.rs
@@ -46,6 +46,7 @@
     pub risks: bool,
     pub weight: f64,
     /// Our own finished work a second for each worker: the part of a worker's capacity that is surely there.
+    /// For a cold one no more than those of its kind take.
     pub fair_rate: f64,
 }
 
