Rules told in part still bind; finished is over; asked in time; push-backs name a time

Cause, each seen in a scenario that fails without the change: with the share of capacity or the window of the cold rule untold a cold worker was sent all (1,000 of 1,000 jobs; 7 now); an end that says finished but not over ran its job again, its effect twice; a failed list was asked for after 1 s though we may count as told sooner; a job of an unknown workload was pushed back with no time to come back.

Change: untold counts as what binds most (share nothing, multiple one, window 1 s); finished is over; the list is asked for again within the told time; the push-back names a time.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -41,6 +41,7 @@
 const ERRORS_OVER: f64 = 8.0; // recent executions that the share is taken over
 const ILL_MOST: f64 = 0.4; // share of workers set aside as ill: with more, the trouble is not a worker's own
 const REPORT_AGED: Duration = Duration::from_secs(6); // age of a report that is dropped: several refreshes
+const FALL_UNTOLD: Duration = Duration::from_secs(1); // window of the cold rule where none is told: it bounds bursts too
 const COLD_SAFETY: f64 = 0.7; // share of the cold rule's budget in use: three half windows make one whole
 const USELESS: Duration = Duration::from_millis(30); // time left of no use: below almost any work
 const COME_BACK: Duration = Duration::from_millis(200); // before anything was measured: a usual execution
@@ -65,12 +66,14 @@
     keep: Duration,
     cold_from: f64,
     cold_for: Duration,
-    fall_window: Duration,
+    /// Half the window of the cold rule, never nothing.
+    cold_half: Duration,
     /// Work that a worker may be sent in a window, in multiples of what it can do in it.
     cold_budget: f64,
     max_executions: u32,
     cancel: bool,
     asks: bool,
+    ask_again: Duration,
     schedulers: f64,
     retry_after: Option<Duration>,
     held_field: Option<usize>,
@@ -226,13 +229,13 @@
     /// A share of less than a job is rounded by chance, anew each half window: one job each would be many.
     fn cold_room(&mut self, call: &Call, now: Duration, figures: &Figures) -> bool {
         let Some(since) = self.cold_since else { return true };
-        let (age, half) = (now.saturating_sub(since), figures.fall_window / 2);
-        if age >= figures.cold_for || half.is_zero() {
+        let (age, half) = (now.saturating_sub(since), figures.cold_half);
+        if age >= figures.cold_for {
             self.cold_since = None;
             return true;
         }
-        let phase = hash(&(figures.seed, self.ix)) % half.as_micros().max(1) as u64;
-        let slot = (now.as_micros() as u64 + phase) / half.as_micros().max(1) as u64;
+        let phase = hash(&(figures.seed, self.ix)) % half.as_micros() as u64;
+        let slot = (now.as_micros() as u64 + phase) / half.as_micros() as u64;
         if slot != self.cold_sent.0 {
             self.cold_sent = (slot, 0.0);
         }
@@ -395,6 +398,7 @@
         let field = |kind| settings.report_fields.iter().position(|&f| f == kind);
         // Jobs waiting are the least that a worker holds.
         let counted = field(ReportField::Held).or(field(ReportField::Queued));
+        let fall_window = rules.fall_window.filter(|window| !window.is_zero()).unwrap_or(FALL_UNTOLD);
         let load_window = copies.load_window.filter(|window| !window.is_zero());
         let histogram = Histogram::new(FIRST_BIN, BIN_RATIO, BINS, HALVE_AT);
         let kind = |w: &Workload| Kind {
@@ -409,13 +413,14 @@
         let figures = Figures {
             seed,
             keep: copies.keep.unwrap_or(KEEP_UNTOLD),
-            cold_from: rules.cold_from.unwrap_or(1.0).clamp(0.0, 1.0),
+            cold_from: rules.cold_from.unwrap_or(0.0).clamp(0.0, 1.0),
             cold_for: rules.cold_for.unwrap_or_default(),
-            fall_window: rules.fall_window.unwrap_or_default(),
+            cold_half: (fall_window / 2).max(Duration::from_micros(1)),
             cold_budget: rules.fall_multiple.unwrap_or(1.0) * COLD_SAFETY,
             max_executions: allowed.max_executions.unwrap_or(1),
             cancel: allowed.cancel,
             asks: settings.discovery == Discovery::Ask,
+            ask_again: rules.ask_within.map_or(ASK_AGAIN, |within| ASK_AGAIN.min(within)),
             schedulers: f64::from(settings.schedulers.unwrap_or(1).max(1)),
             retry_after: allowed.retry_after.then_some(allowed.max_retry_after.unwrap_or(COME_BACK)),
             held_field: counted.or(field(ReportField::Busy)),
@@ -472,6 +477,8 @@
                 self.workers[worker].memory = told(self.figures.memory_field).unwrap_or(0.0);
                 let room = self.figures.shared && held.is_some_and(|held| held < BOUND_LEAST);
                 let ending = Ending { job, execution, outcome, found, held, room };
+                // What has finished is over, said or not: run again, its effect would come twice.
+                let over = over || outcome == Outcome::Finished;
                 self.judge(&ending, worker, took, over);
                 self.post.put(worker + 1, Note::Ended(ending));
                 if !over && self.jobs.contains_key(&job) {
@@ -579,7 +586,7 @@
             self.watch_at = self.figures.asks.then_some(self.now);
         }
         if form == ListForm::Failed && self.figures.asks {
-            self.watch_at = Some(self.now + ASK_AGAIN);
+            self.watch_at = Some(self.now + self.figures.ask_again);
         }
         if matches!(form, ListForm::Full | ListForm::Saved) {
             for worker in &self.workers {
@@ -596,8 +603,8 @@
     fn job(&mut self, asked: &JobAsked) {
         let workload = asked.workload as usize;
         if workload >= self.kinds.len() {
-            self.actions.push(Action::PushBack { job: asked.job, come_back: None });
-            return;
+            let come_back = self.figures.retry_after.map(|most| most.min(COME_BACK));
+            return self.actions.push(Action::PushBack { job: asked.job, come_back });
         }
         let function = self.functions.index(asked.function, self.now);
         let (weight, now) = (self.weight(workload), self.now);
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -1,14 +1,15 @@
 //! Plays every file in `scenarios/`. A line is a setting, an event or an expectation; `#` begins a remark.
 //!
 //!     set effect run-once        effect, group, window, executions, schedulers, workloads, importance,
-//!                                customers, keep, fall, told, cancel, report held, discovery ask
+//!                                customers, keep, fall (`-`: untold), told, cancel, report held, discovery
+//!                                ask, ask-within, retry-after (push-backs must then name a time within it)
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1*2  form, then workers: state, start, zone, kind of machine
 //!     set memory 1000            of a worker, in MB
 //!     job 7 f left=1s            a job of function f; `workload=`, `customer=` and `mb=` may follow
 //!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the
 //!                                other, each finished at once, in 300 ms on the kind named by `slow=`
-//!     end 7 finished warm        how its execution ended; `over`, `took=`, `held=` may follow
+//!     end 7 finished warm        how its execution ended; `over`, `open` (it is not), `took=`, `held=` may follow
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
 //!     sent 7 to a                expected among the actions since: also `not a`, or neither
@@ -115,10 +116,11 @@
             "workloads" => s.workloads.resize(number(words.get(1))?, s.workloads[0].clone()),
             "keep" => s.copies.keep = Some(span(value)?),
             "fall" => {
-                s.rules.cold_from = Some(number(words.get(1))?);
-                s.rules.cold_for = Some(span(words.get(2).unwrap_or(&""))?);
-                s.rules.fall_multiple = Some(number(words.get(3))?);
-                s.rules.fall_window = Some(span(words.get(4).unwrap_or(&""))?);
+                let told = |at| words.get(at).copied().filter(|word: &&str| *word != "-");
+                s.rules.cold_from = told(1).map(|w| number(Some(&w))).transpose()?;
+                s.rules.cold_for = told(2).map(span).transpose()?;
+                s.rules.fall_multiple = told(3).map(|w| number(Some(&w))).transpose()?;
+                s.rules.fall_window = told(4).map(span).transpose()?;
             }
             "memory" => s.copies.memory_mb_by_kind = vec![number(Some(&value))?],
             "told" => s.copies.tells_warm = true,
@@ -136,6 +138,11 @@
             "report" if value == "memory" => s.report_fields = vec![ReportField::MemoryTaken],
             "report" if value == "held" => s.report_fields = vec![ReportField::Held],
             "discovery" if value == "ask" => s.discovery = Discovery::Ask,
+            "ask-within" => s.rules.ask_within = Some(span(value)?),
+            "retry-after" => {
+                s.allowed.retry_after = true;
+                s.allowed.max_retry_after = Some(span(value)?);
+            }
             _ => return Err(format!("no setting: {words:?}")),
         }
         Ok(())
@@ -184,6 +191,7 @@
         for word in &words[1..] {
             match word.split_once('=') {
                 None if *word == "over" => over = true,
+                None if *word == "open" => over = false,
                 None if *word == "warm" => found = Found::Warm,
                 None if *word == "began" => found = Found::BeganLoad,
                 Some(("took", value)) => took = span(value)?,
@@ -260,7 +268,15 @@
             }
             "pushed-back" => {
                 let wanted = job()?;
-                self.expect("push-back", |a| matches!(a, Action::PushBack { job, .. } if *job == wanted))?;
+                let Allowed { retry_after, max_retry_after: most, .. } = self.settings.allowed;
+                let named = |back: &Option<Duration>| match back {
+                    Some(back) => retry_after && !back.is_zero() && most.is_none_or(|most| *back <= most),
+                    None => !retry_after,
+                };
+                self.expect(
+                    "push-back, with a time to come back where settings allow",
+                    |a| matches!(a, Action::PushBack { job, come_back } if *job == wanted && named(come_back)),
+                )?;
             }
             "killed" => {
                 let wanted = job()?;
