Patience before measuring is never under the start target; times measured to 4 minutes

Cause: work that takes more than 3 s was called off each time before anything was measured, and what is called off is never measured: no job of such a workload ever finished, whatever its target. And the last bin of times began at 20 s, so that work of over 50 s was called off once it had been measured.

Change: blind patience is 1.5 s or the told start target, whichever is longer; eight more bins.

Open: work of over 3 s of a workload that tells no start target.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -16,7 +16,7 @@
 // Constants, each with its unit and the reason for its size.
 const FIRST_BIN: Duration = Duration::from_millis(4); // first bin's edge: no execution is shorter
 const BIN_RATIO: f64 = 1.4; // of one bin's edge to the next: finer than the spread between workloads
-const BINS: usize = 26; // the last begins past 20 s, longer than any time limit
+const BINS: usize = 34; // the last begins past 4 minutes, longer than time limits
 const HALVE_AT: u32 = 200; // counts: some seconds of one scheduler's traffic
 const ENOUGH: u32 = 8; // counts below which a histogram says nothing
 const RATE_HALF: Duration = Duration::from_secs(4); // in which the mean rate forgets half: many executions
@@ -100,6 +100,9 @@
     window: Duration,
     importance: f64,
     start_target: Duration,
+    /// Patience before anything was measured. Guards against work that is given up each time, since it takes
+    /// longer than our guess, and so is never measured.
+    blind: Duration,
     /// What executions took that found a copy, and those that had to load.
     quick: Histogram,
     slow: Histogram,
@@ -114,7 +117,7 @@
 
     /// How long to wait for a sign of life; a load that others wait for too is given the time it takes.
     fn patience(&self, loading: bool) -> Duration {
-        let of = |l| self.takes(NEARLY_ALL, l).map_or(PATIENCE_BLIND, |t| t.mul_f64(PATIENCE));
+        let of = |l| self.takes(NEARLY_ALL, l).map_or(self.blind, |t| t.mul_f64(PATIENCE));
         if loading { of(false).max(of(true)) } else { of(false) }
     }
 }
@@ -406,6 +409,7 @@
             group: w.group,
             window: w.window.unwrap_or_default(),
             start_target: w.start_target.or(w.time_limit).unwrap_or(PATIENCE_BLIND),
+            blind: w.start_target.map_or(PATIENCE_BLIND, |target| PATIENCE_BLIND.max(target)),
             importance: w.importance.unwrap_or(1.0),
             quick: histogram.clone(),
             slow: histogram.clone(),
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -2,7 +2,7 @@
 //!
 //!     set effect run-once        effect, group, window, executions, schedulers, workloads, importance,
 //!                                customers, keep, fall (`-`: untold), told, cancel, report held, discovery
-//!                                ask, ask-within, retry-after (push-backs must then name a time within it)
+//!                                ask, target (start target), ask-within, retry-after (push-backs must then name a time within it)
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1*2  form, then workers: state, start, zone, kind of machine
 //!     set memory 1000            of a worker, in MB
@@ -138,6 +138,7 @@
             "report" if value == "memory" => s.report_fields = vec![ReportField::MemoryTaken],
             "report" if value == "held" => s.report_fields = vec![ReportField::Held],
             "discovery" if value == "ask" => s.discovery = Discovery::Ask,
+            "target" => workload.start_target = Some(span(value)?),
             "ask-within" => s.rules.ask_within = Some(span(value)?),
             "retry-after" => {
                 s.allowed.retry_after = true;
