serve refuses a fingerprinted workload that does not tell which workers know repeats

Cause: a group that was not told counted as all workers, so a job that may have run went on anywhere and was pushed back as harmless: its effect could come twice where only a zone's workers drop repeats. Seen in the settings' check; the window was asked for already. A test holds the other refusals of rules told in part as well.

--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -143,7 +143,7 @@
         let _ =
             write!(text, "[[workloads]]\nname = \"{name}\"\neffect = \"{effect}\"\ntime_limit = {limit}\n");
         if workload.effect == Effect::Fingerprinted {
-            let _ = writeln!(text, "window = {}", ms(workload.window));
+            let _ = writeln!(text, "group = \"all\"\nwindow = {}", ms(workload.window));
         }
         for n in 0..workload.functions {
             let (memory, lanes, load) = (workload.memory_mb, workload.lanes, ms(workload.load));
--- a/crates/quartzdrift/src/settings/check.rs
+++ b/crates/quartzdrift/src/settings/check.rs
@@ -332,6 +332,12 @@
                 "add window = \"5s\" or so",
             );
         }
+        if fingerprinted && w.group.is_none() {
+            fault(
+                "it is fingerprinted, but which workers know a repeat is not told",
+                "add group = \"all\", \"zone\" or \"cell\"",
+            );
+        }
         if !fingerprinted && (w.window.is_some() || w.group.is_some()) {
             fault("group and window say nothing unless it is fingerprinted", "remove them, or change effect");
         }
--- a/crates/quartzdrift/src/settings/mod.rs
+++ b/crates/quartzdrift/src/settings/mod.rs
@@ -173,3 +173,32 @@
     };
     (message.to_owned(), mend)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What is wrong with a small settings file that has these lines under its only workload, then these tables.
+    fn wrong(workload: &str, tables: &str) -> Vec<String> {
+        let text = format!(
+            "[gateway]\nlisten = [\"127.0.0.1:0\"]\n[[workloads]]\nname = \"a\"\ntime_limit = \"3s\"\n{workload}\n\
+             [[functions]]\nname = \"f\"\nworkload = \"a\"\n[[workers]]\naddress = \"127.0.0.1:1\"\n{tables}\n"
+        );
+        let faults = read("test.toml", &text).err().unwrap_or_default();
+        faults.into_iter().map(|fault| fault.what).collect()
+    }
+
+    #[test]
+    fn a_rule_that_is_told_in_part_is_refused() {
+        let whole = "effect = \"fingerprinted\"\ngroup = \"zone\"\nwindow = \"5s\"";
+        assert_eq!(wrong(whole, ""), Vec::<String>::new());
+        for part in ["group = \"zone\"\n", "window = \"5s\""] {
+            let told = wrong(&whole.replace(part, ""), "");
+            assert!(matches!(&told[..], [one] if one.contains("is not told")), "{part}: {told:?}");
+        }
+        for part in ["[rules]\ncold_for = \"9s\"", "[copies]\nload_free = 6.0"] {
+            let told = wrong("effect = \"restartable\"", part);
+            assert!(matches!(&told[..], [one] if one.contains("in part")), "{part}: {told:?}");
+        }
+    }
+}
