Adapter ends on an unreadable seed as on unreadable settings

Cause: without its seed an instance had no scheduler and its jobs went unanswered, as with unreadable settings; found on reading the change again. A test fails without it.

--- a/crates/quartzdrift-adapter/src/main.rs
+++ b/crates/quartzdrift-adapter/src/main.rs
@@ -47,7 +47,7 @@
                 let told = line.to_end("boot-info").unwrap_or("");
                 let told = serde_json::from_str(told).map_err(|e| Fault::Settings(e.to_string()))?;
                 let settings = quartzdrift_platform::settings::read(&told).map_err(Fault::Settings)?;
-                let seed = line.count("nonce64").ok_or_else(need("nonce64"))?;
+                let seed = line.count("nonce64").ok_or_else(|| Fault::Settings(need("nonce64")()))?;
                 self.instances.insert(instance, Scheduler::new(&settings, seed));
                 return Ok(());
             }
@@ -218,6 +218,8 @@
             assert!(why.starts_with("the settings cannot be used: "), "{why}");
         }
         assert!(play(SETTINGS, "").is_ok());
+        let seedless = START.replace("SETTINGS", SETTINGS).replace("nonce64=7", "nonce64=");
+        assert!(host(seedless.as_bytes(), Vec::new()).is_err());
     }
 
     #[test]
