Adapter's start and the settings reader told more simply

Found on reading the change again: a fault type with two arms and a conversion, of which one could only come from an instance's start; the reader walked parts and keys with a special case for each level; counts read whole numbers as spans do, twice written.

Tests keep all that they assert. Two things differ: a start without a readable instance number ends the program too, as its jobs would go unanswered, and the refusals name the pointer.

--- a/crates/quartzdrift-adapter/src/main.rs
+++ b/crates/quartzdrift-adapter/src/main.rs
@@ -17,25 +17,26 @@
     reply: String,
 }
 
-/// A line that could not be worked: passed over with a message, or the end, where jobs would go unanswered.
-enum Fault {
-    Line(String),
-    Settings(String),
+fn need(key: &'static str) -> impl Fn() -> String {
+    move || format!("'{key}' is missing or unreadable")
 }
 
-impl From<String> for Fault {
-    fn from(why: String) -> Fault {
-        Fault::Line(why)
+impl Host {
+    /// Starts an instance; `Err` ends it all, as jobs of an instance that did not start would go unanswered.
+    fn open(&mut self, line: &Line) -> Result<(), String> {
+        let instance = line.count("i").ok_or_else(need("i"))?;
+        let told = serde_json::from_str(line.to_end("boot-info").unwrap_or("")).map_err(|e| e.to_string())?;
+        let settings = quartzdrift_platform::settings::read(&told)?;
+        let seed = line.count("nonce64").ok_or_else(need("nonce64"))?;
+        self.instances.insert(instance, Scheduler::new(&settings, seed));
+        Ok(())
     }
-}
 
-impl Host {
-    /// Carries out one event.
-    fn event(&mut self, line: &Line, entries: Vec<Entry>) -> Result<(), Fault> {
-        let need = |key: &'static str| move || format!("'{key}' is missing or unreadable");
+    /// Carries out one other event; `Err` says what of the line could not be read.
+    fn event(&mut self, line: &Line, entries: Vec<Entry>) -> Result<(), String> {
         let instance = match line.name {
-            "open_instance" | "detach" | "targets" | "req" | "fired" | "sampled" | "answer" | "started"
-            | "heard" | "expired" | "stands" => line.count::<u64>("i").ok_or_else(need("i"))?,
+            "detach" | "targets" | "req" | "fired" | "sampled" | "answer" | "started" | "heard"
+            | "expired" | "stands" => line.count::<u64>("i").ok_or_else(need("i"))?,
             _ => return Ok(()),
         };
         let job = || line.count::<JobId>("tid").ok_or_else(need("tid"));
@@ -43,14 +44,6 @@
         let outcome = || line.outcome().ok_or_else(need("disposition"));
         let took = || line.span("cost-time-ns").unwrap_or_default();
         let event = match line.name {
-            "open_instance" => {
-                let told = line.to_end("boot-info").unwrap_or("");
-                let told = serde_json::from_str(told).map_err(|e| Fault::Settings(e.to_string()))?;
-                let settings = quartzdrift_platform::settings::read(&told).map_err(Fault::Settings)?;
-                let seed = line.count("nonce64").ok_or_else(|| Fault::Settings(need("nonce64")()))?;
-                self.instances.insert(instance, Scheduler::new(&settings, seed));
-                return Ok(());
-            }
             "detach" => {
                 self.instances.remove(&instance);
                 return Ok(());
@@ -155,12 +148,10 @@
                     Some(at) => self.now = at,
                     None => eprintln!("cannot read line: {text}: 'moment-ns' is missing or unreadable"),
                 }
-            } else {
-                match self.event(&line, entries) {
-                    Ok(()) => {}
-                    Err(Fault::Line(why)) => eprintln!("cannot read line: {text}: {why}"),
-                    Err(Fault::Settings(why)) => return Err(why),
-                }
+            } else if line.name == "open_instance" {
+                self.open(&line).map_err(|why| format!("the settings cannot be used: {why}"))?;
+            } else if let Err(why) = self.event(&line, entries) {
+                eprintln!("cannot read line: {text}: {why}");
             }
         }
         self.reply.push_str("ack\n");
@@ -178,8 +169,7 @@
             return Ok(());
         }
         if batch[start..].trim_ascii_end() == b"commit" {
-            let worked = host.batch(&String::from_utf8_lossy(&batch[..start]));
-            worked.map_err(|why| format!("the settings cannot be used: {why}"))?;
+            host.batch(&String::from_utf8_lossy(&batch[..start]))?;
             let written = output.write_all(host.reply.as_bytes()).and_then(|()| output.flush());
             written.map_err(|e| e.to_string())?;
             batch.clear();
@@ -204,6 +194,7 @@
     const START: &str = "sync\tmoment-ns=1000000\nopen_instance\ti=0\tnonce64=7\tboot-info=SETTINGS\n\
         targets\ti=0\tform=SAVED\tlines=1\nworker\tworker=10.0.0.1:1\thealth=up\ncommit\n";
     const SETTINGS: &str = r#"{"registry-mode":"push","classes":[{"effect":"retryable"}]}"#;
+    const JOB: &str = "req\ti=0\ttid=5\timage=f\tgrace-ns=1000000000\n";
 
     fn play(settings: &str, then: &str) -> Result<String, String> {
         let mut out = Vec::new();
@@ -224,25 +215,23 @@
 
     #[test]
     fn what_cannot_be_read_leaves_no_job_without_an_answer() {
-        let job = "req\ti=0\ttid=5\timage=f\tgrace-ns=1000000000\n";
-        let sent = play(SETTINGS, job).unwrap();
+        let sent = play(SETTINGS, JOB).unwrap();
         assert!(sent.contains("pass_on\ti=0\ttid=5\tworker=10.0.0.1:1"), "{sent}");
-        let told = format!("{job}answer\ti=0\ttid=5\tseq-no=0\tworker=10.0.0.1:1\tdisposition=eaten\n");
+        let told = format!("{JOB}answer\ti=0\ttid=5\tseq-no=0\tworker=10.0.0.1:1\tdisposition=eaten\n");
         assert!(play(SETTINGS, &told).unwrap().contains("push_back\ti=0\ttid=5"));
         let once = SETTINGS.replace("retryable", "fragile");
         assert!(play(&once, &told).unwrap().contains("drop_request\ti=0\ttid=5"), "it may have run");
-        let class = play(SETTINGS, &job.replace("image", "tier-class=-1\timage")).unwrap();
+        let class = play(SETTINGS, &JOB.replace("image", "tier-class=-1\timage")).unwrap();
         assert!(class.contains("push_back\ti=0\ttid=5") && !class.contains("pass_on"), "{class}");
     }
 
     #[test]
     fn news_of_a_list_that_cannot_be_read_whole_still_ends_what_goes_to_a_worker() {
-        let job = "req\ti=0\ttid=5\timage=f\tgrace-ns=1000000000\n";
         for news in [
             "form=NEW\tlines=1\nworker\tworker=10.0.0.1:1\thealth=draining",
             "form=INCREMENTAL\tlines=1\nworker\tworker=10.0.0.1:1",
         ] {
-            let sent = play(SETTINGS, &format!("targets\ti=0\t{news}\n{job}")).unwrap();
+            let sent = play(SETTINGS, &format!("targets\ti=0\t{news}\n{JOB}")).unwrap();
             assert!(sent.contains("push_back\ti=0\ttid=5") && !sent.contains("pass_on"), "{sent}");
         }
     }
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -136,7 +136,7 @@
 }
 
 /// The most that was added a second, of which half is forgotten in each span `fade`.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Peak {
     sums: Shares,
     fade: Duration,
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -2,7 +2,8 @@
 //!
 //!     set effect run-once        effect, group, window, executions, schedulers, workloads, importance,
 //!                                customers, keep, fall (`-`: untold), told, cancel, report held, discovery
-//!                                ask, target (start target), ask-within, retry-after (push-backs must then name a time within it)
+//!                                ask, target (start target), ask-within, retry-after (push-backs must then
+//!                                name a time within it)
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1*2  form, then workers: state, start, zone, kind of machine
 //!     set memory 1000            of a worker, in MB
@@ -270,13 +271,11 @@
             "pushed-back" => {
                 let wanted = job()?;
                 let Allowed { retry_after, max_retry_after: most, .. } = self.settings.allowed;
-                let named = |back: &Option<Duration>| match back {
-                    Some(back) => retry_after && !back.is_zero() && most.is_none_or(|most| *back <= most),
-                    None => !retry_after,
-                };
+                let allowed = |back: Duration| !back.is_zero() && most.is_none_or(|most| back <= most);
+                let named = |back: Option<Duration>| back.map_or(!retry_after, |b| retry_after && allowed(b));
                 self.expect(
                     "push-back, with a time to come back where settings allow",
-                    |a| matches!(a, Action::PushBack { job, come_back } if *job == wanted && named(come_back)),
+                    |a| matches!(a, Action::PushBack { job, come_back } if *job == wanted && named(*come_back)),
                 )?;
             }
             "killed" => {
--- a/crates/quartzdrift-platform/src/settings.rs
+++ b/crates/quartzdrift-platform/src/settings.rs
@@ -8,16 +8,18 @@
     from.get(key)?.as_f64()
 }
 
-fn count(from: &Value, key: &str) -> Option<u32> {
+/// A whole number from 0 on, whether written as one or as a float.
+fn whole(from: &Value, key: &str) -> Option<u64> {
     let value = from.get(key)?;
-    let whole = value.as_u64().or_else(|| value.as_f64().map(|n| n as u64));
-    whole.map(|n| n.try_into().unwrap_or(u32::MAX))
+    value.as_u64().or_else(|| value.as_f64().map(|n| n as u64))
+}
+
+fn count(from: &Value, key: &str) -> Option<u32> {
+    whole(from, key).map(|n| n.try_into().unwrap_or(u32::MAX))
 }
 
 fn span(from: &Value, key: &str) -> Option<Duration> {
-    let value = from.get(key)?;
-    let nanos = value.as_u64().or_else(|| value.as_f64().map(|n| n as u64));
-    nanos.map(Duration::from_nanos)
+    whole(from, key).map(Duration::from_nanos)
 }
 
 fn flag(from: &Value, key: &str) -> bool {
@@ -36,57 +38,46 @@
     from.get(key).and_then(Value::as_array).into_iter().flatten()
 }
 
-/// Figures that the rules rest on: read wrongly, they would bind nothing.
-const RULING: [(&str, &[&str]); 5] = [
-    ("", &["replicas-of-me"]),
-    ("allowed", &["max-attempts", "max-retry-after-ns"]),
-    (
-        "safety",
-        &[
-            "answer-slack-ns",
-            "ask-within-ns",
-            "cold-from",
-            "cold-ns",
-            "drain-grace-ns",
-            "fall-multiple",
-            "fall-ns",
-        ],
-    ),
-    ("family-info", &["load-free", "load-period-ns", "load-share", "stays-loaded-ns"]),
-    ("classes", &["deadline-ns", "on-time-ns", "window-ns"]),
+/// Figures that the rules rest on: read wrongly, they would bind nothing. Those of each class are apart.
+const RULING: [&str; 14] = [
+    "/replicas-of-me",
+    "/allowed/max-attempts",
+    "/allowed/max-retry-after-ns",
+    "/safety/answer-slack-ns",
+    "/safety/ask-within-ns",
+    "/safety/cold-from",
+    "/safety/cold-ns",
+    "/safety/drain-grace-ns",
+    "/safety/fall-multiple",
+    "/safety/fall-ns",
+    "/family-info/load-free",
+    "/family-info/load-period-ns",
+    "/family-info/load-share",
+    "/family-info/stays-loaded-ns",
+];
+const RULING_CLASS: [&str; 3] = ["/deadline-ns", "/on-time-ns", "/window-ns"];
+/// Without the first of each the others say nothing.
+const WHOLE: [(&str, &[&str]); 2] = [
+    ("/safety/cold-ns", &["/safety/cold-from", "/safety/fall-multiple", "/safety/fall-ns"]),
+    ("/family-info/load-period-ns", &["/family-info/load-free", "/family-info/load-share"]),
 ];
 
 /// What is wrong with settings that no scheduler can keep the rules by.
 fn fault(all: &Value) -> Option<String> {
-    if !all.is_object() {
-        return Some("the settings are no object".to_owned());
-    }
     if list(all, "classes").next().is_none() {
         return Some("the settings name no class".to_owned());
     }
-    for (part, keys) in RULING {
-        let within = match part {
-            "" => vec![all],
-            "classes" => list(all, part).collect(),
-            _ => all.get(part).into_iter().collect(),
-        };
-        for (from, key) in within.iter().flat_map(|from| keys.iter().map(move |key| (from, key))) {
-            if from.get(key).is_some_and(|value| value.as_f64().is_none_or(|n| n < 0.0)) {
-                let part = if part.is_empty() { "settings" } else { part };
-                return Some(format!("{part}: '{key}' is {}, no number from 0 on", from[key]));
-            }
+    let of_all = RULING.iter().map(|at| (at, all.pointer(at)));
+    let of_classes =
+        list(all, "classes").flat_map(|class| RULING_CLASS.iter().map(|at| (at, class.pointer(at))));
+    for (at, value) in of_all.chain(of_classes) {
+        if let Some(value) = value.filter(|value| value.as_f64().is_none_or(|n| n < 0.0)) {
+            return Some(format!("'{at}' is {value}, no number from 0 on"));
         }
     }
-    let tells = |part: &str, keys: &[&str]| {
-        all.get(part).is_some_and(|part| keys.iter().any(|key| part.get(key).is_some()))
-    };
-    if tells("safety", &["cold-from", "fall-multiple", "fall-ns"]) && !tells("safety", &["cold-ns"]) {
-        return Some("safety: the rule for cold workers is told without 'cold-ns'".to_owned());
-    }
-    if tells("family-info", &["load-free", "load-share"]) && !tells("family-info", &["load-period-ns"]) {
-        return Some("family-info: the ration of loads is told without 'load-period-ns'".to_owned());
-    }
-    None
+    let told = |at: &str| all.pointer(at).is_some();
+    let part = WHOLE.iter().find(|(first, others)| !told(first) && others.iter().any(|at| told(at)));
+    part.map(|(first, _)| format!("a rule is told in part: '{first}' is missing"))
 }
 
 fn names(from: &Value, key: &str) -> Vec<String> {
@@ -262,49 +253,45 @@
     }
 
     /// The good settings with one value set, or left out where it is `None`.
-    fn with(part: &str, key: &str, value: Option<Value>) -> Result<Settings, String> {
-        let mut all = good();
-        let from = match part {
-            "" => &mut all,
-            "classes" => &mut all["classes"][0],
-            _ => &mut all[part],
-        };
+    fn with(at: &str, value: Option<Value>) -> Result<Settings, String> {
+        let (mut all, (part, key)) = (good(), at.rsplit_once('/').unwrap());
+        let from = all.pointer_mut(part).and_then(Value::as_object_mut).unwrap();
         match value {
-            Some(value) => from[key] = value,
-            None => drop(from.as_object_mut().unwrap().remove(key)),
-        }
+            Some(value) => from.insert(key.to_owned(), value),
+            None => from.remove(key),
+        };
         read(&all)
     }
 
     #[test]
     fn what_rules_rest_on_is_refused_where_it_cannot_be_read() {
         assert!(read(&good()).is_ok());
-        for (part, keys) in RULING {
-            for key in keys {
-                for bad in [json!("3"), json!(-1), json!(null), json!([3]), json!(true)] {
-                    let why = with(part, key, Some(bad.clone())).expect_err(key);
-                    assert!(why.contains(key) && !why.contains('\n'), "{key} {bad}: {why}");
-                }
-                assert!(with(part, key, Some(json!(0))).is_ok(), "{key} may be nothing");
-                assert!(with(part, key, Some(json!(1e300))).is_ok(), "{key} may be large");
+        let of_classes = RULING_CLASS.map(|key| format!("/classes/0{key}"));
+        for at in RULING.map(str::to_owned).iter().chain(&of_classes) {
+            for bad in [json!("3"), json!(-1), json!(null), json!([3]), json!(true)] {
+                let why = with(at, Some(bad.clone())).expect_err(at);
+                let key = at.rsplit_once('/').unwrap().1;
+                assert!(why.contains(key) && !why.contains('\n'), "{at} {bad}: {why}");
             }
+            assert!(with(at, Some(json!(0))).is_ok(), "{at} may be nothing");
+            assert!(with(at, Some(json!(1e300))).is_ok(), "{at} may be large");
         }
-        for (part, key) in [("", "classes"), ("safety", "cold-ns"), ("family-info", "load-period-ns")] {
-            assert!(with(part, key, None).is_err(), "{key} is missing");
+        for at in ["/classes", "/safety/cold-ns", "/family-info/load-period-ns"] {
+            assert!(with(at, None).is_err(), "{at} is missing");
         }
         assert!(read(&json!([])).is_err() && read(&json!({"classes": []})).is_err());
     }
 
     #[test]
     fn what_is_not_told_or_not_known_counts_as_what_binds_most() {
+        let class = |key, word| with(&format!("/classes/0/{key}"), word).unwrap().workloads.remove(0);
         for word in [None, Some(json!("")), Some(json!("planet")), Some(json!(7))] {
-            assert_eq!(with("classes", "key-scope", word.clone()).unwrap().workloads[0].group, Group::Cell);
-            assert_eq!(with("classes", "effect", word.clone()).unwrap().workloads[0].effect, Effect::RunOnce);
-            assert_eq!(with("", "registry-mode", word).unwrap().discovery, Discovery::Ask);
+            assert_eq!(class("key-scope", word.clone()).group, Group::Cell);
+            assert_eq!(class("effect", word.clone()).effect, Effect::RunOnce);
+            assert_eq!(with("/registry-mode", word).unwrap().discovery, Discovery::Ask);
         }
-        assert_eq!(with("allowed", "max-attempts", None).unwrap().allowed.max_executions, None);
-        let most = with("allowed", "max-attempts", Some(json!(1e12))).unwrap().allowed.max_executions;
-        assert_eq!(most, Some(u32::MAX));
-        assert_eq!(with("classes", "window-ns", None).unwrap().workloads[0].window, None);
+        let most = |told| with("/allowed/max-attempts", told).unwrap().allowed.max_executions;
+        assert_eq!((most(None), most(Some(json!(1e12)))), (None, Some(u32::MAX)));
+        assert_eq!(class("window-ns", None).window, None);
     }
 }
