--- a/crates/quartzdrift-deferred/src/lib.rs
+++ b/crates/quartzdrift-deferred/src/lib.rs
@@ -19,5 +19,5 @@
 mod queue;
 mod store;
 
-pub use queue::{Calls, Destination, End, Id, Kept, Queue, Refused, Step, Submitted, Waits};
+pub use queue::{After, Calls, Destination, End, Id, Kept, Queue, Refused, Step, Submitted, Waits};
 pub use store::{Change, Changes, Memory, Store};
--- a/crates/quartzdrift-deferred/src/queue.rs
+++ b/crates/quartzdrift-deferred/src/queue.rs
@@ -75,6 +75,15 @@
     pub out: Option<Duration>,
 }
 
+/// What lies between a store's last change and now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct After {
+    /// Workers still know the fingerprints of what they ran.
+    pub repeats_known: bool,
+    /// The store is a copy from before: what it shows as waiting may have run.
+    pub older: bool,
+}
+
 /// The final answer of a try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -125,7 +134,13 @@
     waits: Waits,
     store: S,
     held: BTreeMap<Id, Held>,
-    due: BTreeSet<(Duration, Id)>,
+    /// What waits, by customer, each in the order of its times.
+    due: BTreeMap<u32, BTreeSet<(Duration, Id)>>,
+    /// When each customer last had its turn: the one longest ago has the next.
+    turns: BTreeMap<u32, u64>,
+    turn: u64,
+    /// Tries out at a time for now, at most those of the settings.
+    allowed: usize,
     bytes: usize,
     out: usize,
     drawn: u64,
@@ -135,10 +150,13 @@
 impl<S: Store> Queue<S> {
     pub fn new(waits: Waits, store: S, seed: u64) -> Queue<S> {
         Queue {
+            allowed: waits.out,
             waits,
             store,
             held: BTreeMap::new(),
-            due: BTreeSet::new(),
+            due: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            turn: 0,
             bytes: 0,
             out: 0,
             drawn: 0,
@@ -171,7 +189,7 @@
         let id = Id(self.drawn);
         self.store.taken(id, now, &job);
         self.bytes += size;
-        self.due.insert((now, id));
+        self.waits_from(job.customer, now, id);
         let held = Held { job, taken: now, due: now, tries: 0, push_backs: 0, out: false, confined: None };
         self.held.insert(id, held);
         Ok(id)
@@ -181,23 +199,27 @@
         &mut self.store
     }
 
-    /// Takes a job back from a store. One that was out may have run: it is tried again where that is harmless, in its
+    /// Takes a job back from a store that is `after` what. One that was out may have run: it is tried again where that is harmless, in its
     /// window where workers know it, and is over elsewhere. Bounds are those of the time when it was taken.
-    pub fn restore(&mut self, now: Duration, kept: Kept) -> Option<Step> {
+    pub fn restore(&mut self, now: Duration, kept: Kept, after: After) -> Option<Step> {
         let Kept { id, job, taken, due, tries, confined, out } = kept;
         self.drawn = self.drawn.max(id.0);
         self.bytes += job.payload.len() + OVERHEAD;
         let (effect, anywhere, window) = (job.effect, job.anywhere, job.window);
+        let customer = job.customer;
         let held = Held { job, taken, due, tries, push_backs: 0, out: out.is_some(), confined };
         self.held.insert(id, held);
         let Some(at) = out else {
-            self.due.insert((due, id));
+            if after.older && effect != Effect::Restartable {
+                return self.over(id, false, "RetriesExhausted");
+            }
+            self.waits_from(customer, due, id);
             return None;
         };
         self.out += 1;
         let end = match effect {
             Effect::Restartable => End::Killed,
-            Effect::Fingerprinted if anywhere && now < at + window => {
+            Effect::Fingerprinted if anywhere && after.repeats_known && now < at + window => {
                 End::PushedBack { come_back: None, ran: Some(at) }
             }
             Effect::Fingerprinted | Effect::RunOnce => End::Killed,
@@ -205,20 +227,53 @@
         self.ended(now, id, end)
     }
 
+    fn waits_from(&mut self, customer: u32, at: Duration, id: Id) {
+        self.due.entry(customer).or_default().insert((at, id));
+    }
+
+    fn waits_no_more(&mut self, customer: u32, at: Duration, id: Id) {
+        if let Some(due) = self.due.get_mut(&customer) {
+            due.remove(&(at, id));
+            if due.is_empty() {
+                self.due.remove(&customer);
+            }
+        }
+    }
+
+    /// Identities up to this one are taken by jobs that are still to be restored.
+    pub fn reserve(&mut self, id: Id) {
+        self.drawn = self.drawn.max(id.0);
+    }
+
+    /// Tries that may be out at a time for now; those that are out already stay.
+    pub fn allow(&mut self, out: usize) {
+        self.allowed = out.min(self.waits.out);
+    }
+
     /// When [`Queue::take_due`] has something to say.
     pub fn next_due(&self) -> Option<Duration> {
-        let room = self.out < self.waits.out;
-        self.due.first().map(|(at, _)| *at).filter(|_| room)
+        let first = self.due.values().filter_map(|due| due.first()).map(|(at, _)| *at).min();
+        first.filter(|_| self.out < self.allowed)
+    }
+
+    /// Whether a job's time has come, whether it may go out or not; or one is out.
+    pub fn is_busy(&self, now: Duration) -> bool {
+        self.out > 0 || self.due.values().any(|due| due.first().is_some_and(|(at, _)| *at <= now))
     }
 
     /// A job whose time has come, to be tried now: its id, the job, how often it was tried, and what remains of
-    /// the time in which it may be sent, where that is bounded.
+    /// the time in which it may be sent, where that is bounded. Customers that have such jobs take turns.
     pub fn take_due(&mut self, now: Duration) -> Option<(Id, Submitted, u32, Option<Duration>)> {
-        if self.out >= self.waits.out {
+        if self.out >= self.allowed {
             return None;
         }
-        let &(at, id) = self.due.first().filter(|(at, _)| *at <= now)?;
-        self.due.remove(&(at, id));
+        let due = self.due.iter().filter_map(|(customer, due)| Some((*customer, *due.first()?)));
+        let due = due.filter(|(_, (at, _))| *at <= now);
+        let turn = |customer: u32| self.turns.get(&customer).copied().unwrap_or(0);
+        let (customer, (at, id)) = due.min_by_key(|(customer, of)| (turn(*customer), *of))?;
+        self.turn += 1;
+        self.turns.insert(customer, self.turn);
+        self.waits_no_more(customer, at, id);
         let held = self.held.get_mut(&id)?;
         held.out = true;
         held.tries += 1;
@@ -269,7 +324,8 @@
             return self.over(id, false, "RetriesExhausted");
         }
         held.due = at;
-        self.due.insert((at, id));
+        let customer = held.job.customer;
+        self.due.entry(customer).or_default().insert((at, id));
         self.store.waits(id, at, held.tries, held.confined);
         Some(Step::Again { at })
     }
@@ -281,7 +337,7 @@
 
     fn over(&mut self, id: Id, success: bool, condition: &'static str) -> Option<Step> {
         let held = self.held.remove(&id)?;
-        self.due.remove(&(held.due, id));
+        self.waits_no_more(held.job.customer, held.due, id);
         self.bytes -= held.job.payload.len() + OVERHEAD;
         self.store.over(id);
         let to = match success {
@@ -401,19 +457,26 @@
     #[test]
     fn what_was_out_at_a_crash_goes_on_only_where_it_may() {
         let s = Duration::from_secs;
-        for (effect, anywhere, out, expected) in [
-            (Effect::RunOnce, true, None, "none"),
-            (Effect::RunOnce, true, Some(s(99)), "RetriesExhausted"),
-            (Effect::Restartable, true, Some(s(99)), "again"),
-            (Effect::Fingerprinted, true, Some(s(99)), "again"),
-            (Effect::Fingerprinted, true, Some(s(90)), "RetriesExhausted"),
-            (Effect::Fingerprinted, false, Some(s(99)), "RetriesExhausted"),
+        let plain = After { repeats_known: true, older: false };
+        let (lost, older) = (After { repeats_known: false, ..plain }, After { older: true, ..plain });
+        for (effect, anywhere, out, after, expected) in [
+            (Effect::RunOnce, true, None, plain, "none"),
+            (Effect::RunOnce, true, Some(s(99)), plain, "RetriesExhausted"),
+            (Effect::Restartable, true, Some(s(99)), plain, "again"),
+            (Effect::Fingerprinted, true, Some(s(99)), plain, "again"),
+            (Effect::Fingerprinted, true, Some(s(90)), plain, "RetriesExhausted"),
+            (Effect::Fingerprinted, false, Some(s(99)), plain, "RetriesExhausted"),
+            (Effect::Fingerprinted, true, Some(s(99)), lost, "RetriesExhausted"),
+            (Effect::Fingerprinted, true, None, lost, "none"),
+            (Effect::RunOnce, true, None, older, "RetriesExhausted"),
+            (Effect::Fingerprinted, true, None, older, "RetriesExhausted"),
+            (Effect::Restartable, true, None, older, "none"),
         ] {
             let mut queue = Queue::new(waits(), crate::Changes::new(true), 1);
             let job = Submitted { anywhere, ..job(effect) };
             let tries = u32::from(out.is_some());
             let kept = Kept { id: Id(7), job, taken: s(80), due: s(85), tries, confined: None, out };
-            let step = queue.restore(s(100), kept);
+            let step = queue.restore(s(100), kept, after);
             assert_eq!(condition(step), expected, "{effect:?} {anywhere} {out:?}");
             assert_eq!(queue.store_mut().take().len(), usize::from(expected != "none"));
             if expected == "none" {
@@ -423,6 +486,26 @@
         }
     }
 
+    #[test]
+    fn customers_take_turns_and_no_more_go_out_than_are_allowed() {
+        let mut queue = Queue::new(Waits { jobs: 100, bytes: 100_000, out: 64, ..waits() }, Memory, 1);
+        queue.reserve(Id(40));
+        for n in 0..30 {
+            let job =
+                Submitted { customer: u32::from(n >= 24) + u32::from(n >= 27), ..job(Effect::Restartable) };
+            assert_eq!(queue.submit(Duration::from_millis(n), job), Ok(Id(41 + n)));
+        }
+        let now = Duration::from_secs(1);
+        queue.allow(0);
+        assert_eq!((queue.next_due(), queue.take_due(now)), (None, None));
+        queue.allow(9);
+        let taken: Vec<u32> =
+            std::iter::from_fn(|| queue.take_due(now)).map(|(_, job, ..)| job.customer).collect();
+        assert_eq!(taken, [0, 1, 2, 0, 1, 2, 0, 1, 2]);
+        queue.allow(1000);
+        assert_eq!(std::iter::from_fn(|| queue.take_due(now)).count(), 21);
+    }
+
     #[test]
     fn circles_of_destinations_end() {
         let mut queue = queue();
--- a/crates/quartzdrift-lab/src/day.rs
+++ b/crates/quartzdrift-lab/src/day.rs
@@ -202,6 +202,7 @@
         length: scale.length,
         troubles: Vec::new(),
         forecasts: false,
+        fleet: None,
     };
     let mut left_out = Vec::new();
     for told in &file.troubles {
--- a/crates/quartzdrift-lab/src/emulate/mod.rs
+++ b/crates/quartzdrift-lab/src/emulate/mod.rs
@@ -1057,6 +1057,24 @@
             Trouble::Apart { first, last, one_way } => self.apart = Some((first..last + 1, one_way)),
             Trouble::Together => self.apart = None,
             Trouble::LoseDatagrams(share) => self.loss = share,
+            Trouble::PowerOff { gateways } => {
+                let (first, last) = gateways.unwrap_or((0, self.schedulers.len().saturating_sub(1)));
+                (first..=last).for_each(|s| self.trouble(&Trouble::KillGateway(s), machine, seed));
+                if gateways.is_none() {
+                    (0..self.workers.len()).for_each(|w| self.trouble(&Trouble::Crash(w), machine, seed));
+                    self.trouble(&Trouble::RosterStop(true), machine, seed);
+                }
+            }
+            Trouble::StopGateways(first, last) => {
+                (first..=last).for_each(|s| self.trouble(&Trouble::KillGateway(s), machine, seed));
+            }
+            Trouble::PowerOnGateway(s) => self.trouble(&Trouble::StartGateway(s), machine, seed),
+            // Here nothing is on disk, clocks are true, and datagrams keep their order: these have no counterpart.
+            Trouble::DoubleDatagrams(_)
+            | Trouble::LateDatagrams(_)
+            | Trouble::Clock(..)
+            | Trouble::CopyState(_)
+            | Trouble::Spoil(..) => {}
             // Empty lists are doubted by the daemon's reading of lists, which is not part of this model.
             Trouble::RosterEmpty(_) => {}
             Trouble::StoreSlow(times) => {
--- a/crates/quartzdrift-lab/src/lib.rs
+++ b/crates/quartzdrift-lab/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod roster;
 pub mod script;
 pub mod store;
+pub mod switch;
 pub mod traffic;
 pub mod worker;
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::{Parser, Subcommand};
 use quartzdrift::platform::run;
-use quartzdrift::{logs, serve, settings};
+use quartzdrift::{clock, logs, serve, settings};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -31,7 +31,18 @@
         workers: usize,
     },
     /// Run a gateway by a settings file, as `quartzdrift serve` does
-    Gateway { file: PathBuf },
+    Gateway {
+        file: PathBuf,
+        /// As if this machine's wall clock were ahead
+        #[arg(long, default_value = "0s", value_parser = humantime::parse_duration)]
+        ahead: Duration,
+        /// Or behind
+        #[arg(long, default_value = "0s", value_parser = humantime::parse_duration)]
+        behind: Duration,
+        /// As if the machine had just been started anew, in a run of this name
+        #[arg(long)]
+        boot: Option<String>,
+    },
     /// Run a scheduler on the operators' platform, as `quartzdrift run` does
     Scheduler,
     /// Run one stand-in worker
@@ -185,7 +196,11 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Demo { listen, workers } => demo(listen, workers),
-        Command::Gateway { file } => gateway(&file),
+        Command::Gateway { file, ahead, behind, boot } => {
+            let boot = boot.map(|name| (name, Duration::from_secs(1)));
+            clock::set(clock::Set { ahead, behind, boot });
+            gateway(&file)
+        }
         Command::Scheduler => run::start(),
         Command::Naive { file } => settings::load(&file)
             .map_err(faults)
--- a/crates/quartzdrift-lab/src/record.rs
+++ b/crates/quartzdrift-lab/src/record.rs
@@ -92,6 +92,8 @@
     Fell {
         worker: String,
     },
+    /// Workers lost power: what they remembered is gone.
+    WorkersLost,
     /// A gateway process runs from here on, and is killed outright there.
     GatewayUp {
         gateway: u64,
--- a/crates/quartzdrift-lab/src/script.rs
+++ b/crates/quartzdrift-lab/src/script.rs
@@ -18,7 +18,15 @@
 //! at 5s store slow 5            also refuse, serve
 //! at 7s kill gateway 1          and start; `gateways 0 9` for some; `pause gateway 1 10s`
 //! at 8s apart gateways 0 9      no datagram passes between them and the others; `unheard`: none from them
-//! at 9s together gateways       and it passes again; `lose datagrams 0.3`: that share is lost
+//! at 9s together gateways       and it passes again; `lose datagrams 0.3`: that share is lost; also `double`
+//! at 9s late datagrams 50ms     each by a chance part of that, so that they overtake each other
+//! at 4s power off all           gateways, workers, roster in one moment; also `power off gateways 0 2`
+//! at 5s power on gateways 0 2 every=300ms   also workers, and `power on roster`; the machines have started anew
+//! at 5s clock gateway 1 ahead 1h            or behind; from its next start on
+//! at 2s copy gateway 1          of its folder; `spoil gateway 1 older` puts it back while it is down; also
+//!                               cut, flip, other, empty, unreadable, full
+//! at 5s stop gateways 0 4       all told to stop as operators do, and waited for
+//! fleet 50ms                    gateways are members of a fleet with this period, and keep deferred jobs on disk
 //! ```
 use quartzdrift_choice::interface::Effect;
 use std::time::Duration;
@@ -105,6 +113,33 @@
     },
     Together,
     LoseDatagrams(f64),
+    DoubleDatagrams(f64),
+    LateDatagrams(Duration),
+    /// Gateways from the first to the last; workers and roster too where it is all.
+    PowerOff {
+        gateways: Option<(usize, usize)>,
+    },
+    /// As operators stop them, all told in one moment.
+    StopGateways(usize, usize),
+    /// Started on a machine that was started anew.
+    PowerOnGateway(usize),
+    /// The wall clock of its next starts: ahead, or behind.
+    Clock(usize, Duration, bool),
+    CopyState(usize),
+    Spoil(usize, Spoil),
+}
+
+/// What becomes of a state folder while its process is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spoil {
+    Cut,
+    Flip,
+    Older,
+    Other,
+    Empty,
+    Unreadable,
+    /// Nothing can be written any more.
+    Full,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -128,6 +163,8 @@
     pub troubles: Vec<(Duration, Trouble)>,
     /// Load ahead of need by forecasts, on sockets; the emulator is told by its variants.
     pub forecasts: bool,
+    /// The members' period, where gateways are a fleet.
+    pub fleet: Option<Duration>,
 }
 
 struct Words<'a>(Vec<&'a str>);
@@ -180,6 +217,7 @@
         length: Duration::from_secs(10),
         troubles: Vec::new(),
         forecasts: false,
+        fleet: None,
     };
     for (n, line) in text.lines().enumerate() {
         let words = Words(line.split('#').next().unwrap_or("").split_whitespace().collect());
@@ -193,10 +231,16 @@
     script.troubles.sort_by_key(|(at, _)| *at);
     for (_, trouble) in &script.troubles {
         let (of, most) = match trouble {
-            Trouble::KillGateway(n) | Trouble::StartGateway(n) | Trouble::PauseGateway(n, _) => {
-                (*n, script.gateways)
-            }
+            Trouble::KillGateway(n)
+            | Trouble::StartGateway(n)
+            | Trouble::PauseGateway(n, _)
+            | Trouble::PowerOnGateway(n)
+            | Trouble::Clock(n, ..)
+            | Trouble::CopyState(n)
+            | Trouble::Spoil(n, _) => (*n, script.gateways),
             Trouble::Apart { last, .. } => (*last, script.gateways),
+            Trouble::StopGateways(_, last) => (*last, script.gateways),
+            Trouble::PowerOff { gateways } => (gateways.map_or(0, |(_, last)| last), script.gateways),
             Trouble::Crash(n)
             | Trouble::Start(n)
             | Trouble::Silent(n)
@@ -213,7 +257,9 @@
             | Trouble::StoreSlow(_)
             | Trouble::StoreRefuse(_)
             | Trouble::Together
-            | Trouble::LoseDatagrams(_) => (0, 1),
+            | Trouble::LoseDatagrams(_)
+            | Trouble::DoubleDatagrams(_)
+            | Trouble::LateDatagrams(_) => (0, 1),
         };
         if of >= most {
             return Err(format!("{trouble:?} names one that is not there: they are counted from 0"));
@@ -265,6 +311,7 @@
                 self.lag = words.span("lag", self.lag)?;
             }
             "forecasts" => self.forecasts = true,
+            "fleet" => self.fleet = Some(span(words.at(1)?)?),
             "workload" => self.workloads.push(workload(words)?),
             "length" => self.length = span(words.at(1)?)?,
             "at" => {
@@ -326,6 +373,35 @@
             }
             ("together", "gateways") => Trouble::Together,
             ("lose", "datagrams") => Trouble::LoseDatagrams(share()?),
+            ("double", "datagrams") => Trouble::DoubleDatagrams(share()?),
+            ("late", "datagrams") => Trouble::LateDatagrams(span(words.at(4)?)?),
+            ("clock", "gateway") => {
+                let ahead = match words.at(5)? {
+                    "ahead" => true,
+                    "behind" => false,
+                    other => return Err(format!("a clock is ahead or behind, not '{other}'")),
+                };
+                Trouble::Clock(index(4)?, span(words.at(6)?)?, ahead)
+            }
+            ("copy", "gateway") => Trouble::CopyState(index(4)?),
+            ("spoil", "gateway") => Trouble::Spoil(index(4)?, spoil(words.at(5)?)?),
+            ("stop", "gateways") => Trouble::StopGateways(index(4)?, index(5)?),
+            ("power", "off") => match words.at(4)? {
+                "all" => Trouble::PowerOff { gateways: None },
+                _ => Trouble::PowerOff { gateways: Some((index(5)?, index(6)?)) },
+            },
+            ("power", "on") => {
+                let every = words.span("every", Duration::ZERO)?;
+                let on: fn(usize) -> Trouble = match words.at(4)? {
+                    "gateways" => Trouble::PowerOnGateway,
+                    "workers" => Trouble::Start,
+                    "roster" => |_| Trouble::RosterStop(false),
+                    other => return Err(format!("there is no power for '{other}'")),
+                };
+                let (first, last) = if words.at(4)? == "roster" { (0, 0) } else { (index(5)?, index(6)?) };
+                self.troubles.extend((first..=last).zip(0..).map(|(n, step)| (at + every * step, on(n))));
+                return Ok(());
+            }
             (verb, of) => return Err(format!("'{verb} {of}' is no trouble")),
         };
         self.troubles.push((at, trouble));
@@ -333,6 +409,19 @@
     }
 }
 
+fn spoil(text: &str) -> Result<Spoil, String> {
+    Ok(match text {
+        "cut" => Spoil::Cut,
+        "flip" => Spoil::Flip,
+        "older" => Spoil::Older,
+        "other" => Spoil::Other,
+        "empty" => Spoil::Empty,
+        "unreadable" => Spoil::Unreadable,
+        "full" => Spoil::Full,
+        other => return Err(format!("nothing is spoilt by '{other}'")),
+    })
+}
+
 fn number(text: &str) -> Result<f64, String> {
     text.parse().map_err(|_| format!("'{text}' is no number"))
 }
--- a/crates/quartzdrift-lab/src/worker.rs
+++ b/crates/quartzdrift-lab/src/worker.rs
@@ -239,6 +239,15 @@
         met
     }
 
+    /// What was not taken did not run: its mark is met the next time.
+    fn not_taken(&mut self, id: u64) {
+        self.see(Seen::Refused { worker: self.address.to_string(), life: self.life, call: id });
+        let mark = self.open.get(&id).and_then(|open| open.mark.as_ref());
+        if let (Some(marks), Some(mark)) = (&self.config.marks, mark) {
+            marks.lock().unwrap_or_else(PoisonError::into_inner).remove(mark);
+        }
+    }
+
     fn repository(&mut self, exchange: Exchange, asked: models::Asked, body: &[u8], gateway: u64) {
         if self.faults.silent || self.faults.hang {
             return;
@@ -301,13 +310,13 @@
             match say {
                 Say::Ran { call, found, crowd, wanted } => self.ran(call, found, crowd, wanted),
                 Say::Full { call } => {
-                    self.see(Seen::Refused { worker: self.address.to_string(), life: self.life, call });
+                    self.not_taken(call);
                     let headers = Headers::new().with("x-amzn-errortype", "TooManyRequestsException");
                     let headers = self.with_report(headers, None);
                     self.finish(call, 429, headers, b"{\"Type\":\"User\",\"message\":\"full\"}".to_vec());
                 }
                 Say::Missed { call } => {
-                    self.see(Seen::Refused { worker: self.address.to_string(), life: self.life, call });
+                    self.not_taken(call);
                     let headers = Headers::new().with("x-amzn-errortype", "ResourceNotFoundException");
                     let headers = self.with_report(headers, Some((Found::LoadFailed, 0)));
                     self.finish(
--- /dev/null
+++ b/crates/quartzdrift-lab/tests/recovery.rs
@@ -0,0 +1,144 @@
+//! Fleets of gateway processes that lose power, parts or pieces of their state, with faults between them. The auditor judges
+//! each day by what passed on the sockets; what each gateway took its start for is read from its own state.
+use quartzdrift_lab::badday::{Day, Program, play};
+use quartzdrift_lab::record::Seen;
+use quartzdrift_lab::script;
+use quartzdrift_recovery::{Disk, Kind, Stage};
+use std::path::Path;
+
+/// A fleet with jobs of every effect, deferred ones too.
+const FLEET: &str = "
+workers 5 cores=4 memory=1600 keep=60s queue=60
+store capacity=6 limit=16
+roster lag=20ms
+fleet 50ms
+workload quote restartable rate=40 work=5ms limit=2s functions=6 memory=60 load=100ms lanes=2
+workload stamp fingerprinted window=2s rate=15 work=5ms limit=1s functions=2 memory=60 load=100ms lanes=2
+workload pay run-once rate=10 work=10ms limit=1s functions=1 memory=60 load=100ms lanes=2
+workload again restartable rate=10 work=20ms limit=2s functions=1 memory=60 load=100ms lanes=2 deferred
+workload sealed fingerprinted window=2s rate=10 work=20ms limit=2s functions=1 memory=60 load=100ms lanes=2 deferred
+workload once run-once rate=10 work=20ms limit=2s functions=1 memory=60 load=100ms lanes=2 deferred
+";
+
+fn played(troubles: &str, seed: u64) -> Day {
+    let script = script::read(&format!("{FLEET}\n{troubles}")).unwrap();
+    let lab = Path::new(env!("CARGO_BIN_EXE_quartzdrift-lab"));
+    let day = play(&script, &Program::lab(lab, "gateway"), seed).unwrap();
+    let (broken, views) = (&day.broken, &day.views);
+    assert!(broken.is_empty(), "{broken:?} {views:?}");
+    day
+}
+
+fn kinds(day: &Day) -> Vec<Option<(Kind, Disk)>> {
+    let verdict =
+        |view: &Option<quartzdrift_recovery::View>| view.as_ref()?.verdict.as_ref().map(|v| (v.kind, v.disk));
+    day.views.iter().map(verdict).collect()
+}
+
+/// Calls that finished after the moment, in seconds.
+fn finished_after(day: &Day, from: f64) -> usize {
+    let late = |at_us: u64| at_us as f64 / 1e6 >= from;
+    let of = |seen: &Seen| matches!(seen, Seen::Answered { status: 200, killed: false, .. });
+    day.lines.iter().filter(|line| late(line.at_us) && of(&line.seen)).count()
+}
+
+#[test]
+fn all_down_in_one_moment_and_back_in_any_order() {
+    let day = played(
+        "gateways 5\nlength 11s\nat 2s power off all\nat 2500ms power on workers 0 4 every=50ms\n\
+         at 3s power on gateways 0 2 every=200ms\nat 3800ms power on roster\nat 6s power on gateways 3 3",
+        1,
+    );
+    let lost = Some((Kind::LossOfMany, Disk::Whole));
+    assert_eq!(kinds(&day), [lost, lost, lost, lost, None], "one never came back");
+    assert!(day.views.iter().flatten().all(|view| view.stage == Stage::Full), "{:?}", day.views);
+    assert!(finished_after(&day, 6.0) > 100);
+}
+
+#[test]
+fn power_lost_again_in_the_middle_of_recovery_twice() {
+    let day = played(
+        "gateways 3\nlength 9s\nat 2s power off all\nat 2200ms power on gateways 0 2\nat 2200ms power on workers 0 4\n\
+         at 2200ms power on roster\nat 2600ms power off all\nat 2800ms power on gateways 0 2\nat 2900ms power on workers 0 4\n\
+         at 2900ms power on roster\nat 4200ms power off all\nat 4300ms power on roster\nat 4300ms power on workers 0 4\n\
+         at 4400ms power on gateways 0 2",
+        2,
+    );
+    assert_eq!(kinds(&day), [Some((Kind::LossOfMany, Disk::Whole)); 3]);
+    assert!(finished_after(&day, 6.5) > 50);
+}
+
+#[test]
+fn clocks_an_hour_off_after_a_power_loss_age_nothing_and_hold_nothing_back() {
+    let day = played(
+        "gateways 3\nlength 8s\nat 2s power off all\nat 2s clock gateway 0 ahead 1h\nat 2s clock gateway 1 behind 1h\n\
+         at 2500ms power on workers 0 4\nat 2500ms power on roster\nat 2700ms power on gateways 0 2",
+        3,
+    );
+    assert_eq!(kinds(&day), [Some((Kind::LossOfMany, Disk::Whole)); 3]);
+}
+
+#[test]
+fn one_crash_in_a_healthy_fleet_is_told_from_a_loss_whatever_its_clock_says() {
+    let day = played(
+        "gateways 4\nlength 8s\nat 3s kill gateway 1\nat 3200ms start gateway 1\nat 6500ms kill gateway 2\n\
+         at 6500ms clock gateway 2 behind 1h\nat 6700ms start gateway 2",
+        4,
+    );
+    let [_, one, two, _] = &kinds(&day)[..] else { panic!() };
+    assert_eq!([one, two], [&Some((Kind::CrashOfOne, Disk::Whole)); 2]);
+}
+
+#[test]
+fn a_planned_restart_of_all_is_taken_for_none() {
+    let day = played("gateways 4\nlength 7s\nat 2s stop gateways 0 3\nat 3s start gateways 0 3", 5);
+    assert_eq!(kinds(&day), [Some((Kind::Planned, Disk::Whole)); 4]);
+}
+
+#[test]
+fn members_parted_while_power_returns_serve_alone_and_join() {
+    let day = played(
+        "gateways 4\nlength 10s\nat 2s power off all\nat 2100ms apart gateways 0 1\nat 2500ms power on workers 0 4\n\
+         at 2500ms power on roster\nat 2600ms power on gateways 0 3 every=50ms\nat 6s together gateways",
+        6,
+    );
+    assert_eq!(kinds(&day), [Some((Kind::LossOfMany, Disk::Whole)); 4]);
+    assert!(finished_after(&day, 4.0) > 150);
+    assert!(day.views.iter().flatten().all(|view| view.stage == Stage::Full));
+}
+
+#[test]
+fn datagrams_lost_doubled_and_mixed_up_while_power_returns() {
+    let day = played(
+        "gateways 4\nlength 9s\nat 1s lose datagrams 0.3\nat 1s double datagrams 0.3\nat 1s late datagrams 30ms\n\
+         at 2s power off all\nat 2500ms power on workers 0 4\nat 2500ms power on roster\n\
+         at 2600ms power on gateways 0 3 every=100ms",
+        7,
+    );
+    assert_eq!(kinds(&day), [Some((Kind::LossOfMany, Disk::Whole)); 4]);
+}
+
+#[test]
+fn each_kind_of_spoilt_state_is_seen_for_what_it_is() {
+    let day = played(
+        "gateways 7\nlength 9s\nat 1s copy gateway 2\nat 1500ms kill gateway 2\nat 1700ms start gateway 2\n\
+         at 3s kill gateways 0 5\n\
+         at 3100ms spoil gateway 0 cut\nat 3100ms spoil gateway 1 flip\nat 3100ms spoil gateway 2 older\n\
+         at 3100ms spoil gateway 3 other\nat 3100ms spoil gateway 4 unreadable\nat 3100ms spoil gateway 5 empty\n\
+         at 3200ms start gateways 0 5",
+        8,
+    );
+    let disks: Vec<Option<Disk>> = kinds(&day).into_iter().map(|of| of.map(|(_, disk)| disk)).collect();
+    let seen = [Disk::Spoilt, Disk::Spoilt, Disk::Old, Disk::Foreign, Disk::Spoilt, Disk::Gone];
+    assert_eq!(disks[..6], seen.map(Some));
+}
+
+#[test]
+fn a_gateway_without_room_on_its_disk_takes_nothing_it_cannot_keep() {
+    let day = played(
+        "gateways 3\nlength 6s\nat 2s kill gateway 1\nat 2100ms spoil gateway 1 full\nat 2200ms start gateway 1",
+        9,
+    );
+    assert_eq!(day.views[1], None, "it says what is wrong, and ends");
+    assert!(finished_after(&day, 3.0) > 80, "the others serve on");
+}
--- /dev/null
+++ b/crates/quartzdrift-recovery/src/lib.rs
@@ -0,0 +1,26 @@
+//! From the start of a scheduler to full service. No I/O, no clock.
+//!
+//! Make a [`Recovery`] from what was found on disk ([`Found`]). Tell it of members ([`Recovery::member`]), of what they say
+//! ([`Recovery::told`]) and of time ([`Recovery::due`]), and carry out [`Recovery::outputs`]. It says what kind of start this
+//! is ([`Kind`]), what is believed ([`beliefs`]), and what is let in meanwhile ([`Stage`]). Where a job goes is not decided
+//! here.
+//!
+//! * `moment`: clocks before and after, and how much time lies between.
+//! * `topics`: what members ask and answer, and its bounds.
+//! * `start`: kinds of start, by evidence.
+//! * `trust`: what of each thing kept is believed; the table of docs/design-recovery.md.
+//! * `pace`: how many loads and deferred jobs are let in.
+//! * `recovery`: the state machine.
+mod moment;
+mod pace;
+mod recovery;
+mod start;
+mod topics;
+mod trust;
+
+pub use moment::{Age, Moment};
+pub use pace::{Backlog, Loads};
+pub use recovery::{Output, Recovery, Settings, Stage, View};
+pub use start::{Disk, Found, Kind, Mark, Verdict};
+pub use topics::{About, RECOVERY, Said, Unread};
+pub use trust::{Belief, Thing, beliefs, repeats_known, waiting_in_doubt};
--- /dev/null
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -0,0 +1,505 @@
+//! The state machine from a start to full service.
+use crate::pace::{Backlog, Loads};
+use crate::start::{Disk, Found, Heard, Kind, Mark, Verdict, judge};
+use crate::topics::{About, Said, Unread};
+use crate::trust::{Belief, Thing, beliefs, repeats_known, waiting_in_doubt};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Duration;
+
+/// Members asked at most: what one of them does not know, another does.
+const ASKED_MOST: usize = 32;
+/// Between asks of one that has not answered: datagrams get lost.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// Others of whom starts are remembered at most.
+const SEEN_MOST: usize = 4096;
+/// A stage has done its work once this long nobody was put off, or nearly nobody.
+const CALM: Duration = Duration::from_secs(2);
+/// Of those who came, the share that may be put off in a calm stage.
+const CALM_SHARE: f64 = 0.02;
+/// Told to whom comes while others are still asked.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// Stages in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Stage {
+    /// Others are asked what this start is. What may have run is not run again meanwhile.
+    Asking,
+    /// Synchronous work, and loads by pace.
+    Synchronous,
+    /// The deferred backlog too, by what synchronous work leaves.
+    Backlog,
+    /// Missed timers too.
+    Timers,
+    /// All, loads ahead of need too.
+    Full,
+}
+
+impl fmt::Display for Stage {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Stage::Asking => "asking",
+            Stage::Synchronous => "synchronous",
+            Stage::Backlog => "backlog",
+            Stage::Timers => "timers",
+            Stage::Full => "full",
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// In the fleet; empty without one.
+    pub name: String,
+    /// Whether there may be others to ask.
+    pub fleet: bool,
+    /// How long others are asked at most.
+    pub ask: Duration,
+    /// How long service may take to return in stages at most.
+    pub longest: Duration,
+    /// Workers' memory of fingerprints outlasts a loss of power.
+    pub fingerprints_on_disk: bool,
+    /// The ration's window: loads ahead begin no sooner after the last life.
+    pub load_window: Duration,
+    /// Deferred jobs out at a time, as the settings tell.
+    pub out: usize,
+    pub schedulers: u32,
+    /// The start that last opened the store of deferred jobs, as noted there.
+    pub store: Option<u64>,
+    /// Drawn at this start.
+    pub life: u64,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    Tell {
+        to: String,
+        bytes: Vec<u8>,
+    },
+    /// What kind of start this is; said once.
+    Judged(Verdict),
+    Stage(Stage),
+}
+
+/// What operators see.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    pub starts: u64,
+    pub stage: Stage,
+    /// Seconds since this stage and since the start.
+    pub stage_for: u64,
+    pub up: u64,
+    pub verdict: Option<Verdict>,
+    pub beliefs: Vec<(Thing, Belief, String)>,
+    pub waits_for: Vec<String>,
+    /// Loads that may be out at a time, while they are paced.
+    pub loads: Option<f64>,
+    /// Deferred jobs that may be out at a time, while they are.
+    pub backlog: Option<usize>,
+}
+
+impl View {
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "stage {} for {} s, start {}, up {} s\n",
+            self.stage, self.stage_for, self.starts, self.up
+        );
+        if let Some(Verdict { kind, disk, answered, lost, silent, .. }) = &self.verdict {
+            text.push_str(&format!(
+                "{kind}: {answered} others answered, {lost} of them ended with us, {silent} did not answer; disk {disk:?}\n"
+            ));
+        }
+        for (thing, belief, why) in &self.beliefs {
+            text.push_str(&format!("{:<13} {:<9} {why}\n", format!("{thing:?}"), format!("{belief:?}")));
+        }
+        if !self.waits_for.is_empty() {
+            text.push_str(&format!("waits for answers of {}\n", self.waits_for.join(", ")));
+        }
+        if let Some(loads) = self.loads {
+            text.push_str(&format!("loads that may be out at a time: {loads:.2}\n"));
+        }
+        if let Some(backlog) = self.backlog {
+            text.push_str(&format!("deferred jobs that may be out at a time: {backlog}\n"));
+        }
+        text
+    }
+}
+
+#[derive(Debug, Default)]
+struct Asked {
+    again: Duration,
+    heard: Option<Heard>,
+}
+
+#[derive(Debug)]
+pub struct Recovery {
+    settings: Settings,
+    found: Found,
+    begun: Duration,
+    starts: u64,
+    /// Highest starts heard of others; what it was before a member's present start.
+    seen: BTreeMap<String, u64>,
+    before: BTreeMap<String, (u64, u64)>,
+    /// Members that counted and those met since.
+    asked: BTreeMap<String, Asked>,
+    met: BTreeSet<String>,
+    verdict: Option<Verdict>,
+    stage: Stage,
+    since: Duration,
+    /// Since when nearly nobody was put off, and when that was looked at.
+    calm: Duration,
+    look_at: Duration,
+    back_at: Option<Duration>,
+    /// No load ahead before: another life's ration may be spent.
+    ration_until: Duration,
+    pub loads: Loads,
+    backlog: Backlog,
+    stopped: bool,
+    outputs: Vec<Output>,
+}
+
+impl Recovery {
+    /// `now`: by the steady clock ([`crate::Moment::steady`]).
+    pub fn new(settings: Settings, found: Found, now: Duration) -> Recovery {
+        let mark = found.mark.clone().unwrap_or_default();
+        let mut known = found.known.clone();
+        known.truncate(ASKED_MOST);
+        let asked = known.into_iter().map(|name| (name, Asked::default())).collect();
+        let empty = found.disk == Disk::Empty;
+        let ration = match found.age() {
+            // A mark is noted now and then: the last life may have gone on after it, but not into this one.
+            _ if empty => Duration::ZERO,
+            Some(_) | None => settings.load_window,
+        };
+        let mut recovery = Recovery {
+            loads: Loads::new(settings.schedulers, settings.seed),
+            backlog: Backlog::new(now, settings.out),
+            begun: now,
+            starts: mark.starts.max(settings.store.unwrap_or(0)) + 1,
+            seen: mark.seen,
+            before: BTreeMap::new(),
+            asked,
+            met: BTreeSet::new(),
+            verdict: None,
+            stage: Stage::Asking,
+            since: now,
+            calm: now,
+            look_at: now,
+            // Of the future it cannot be: the clock could not be told then.
+            back_at: mark.back_at.map(|at| at.min(now)),
+            ration_until: now + ration,
+            stopped: false,
+            outputs: Vec::new(),
+            settings,
+            found,
+        };
+        if !recovery.settings.fleet {
+            recovery.judge(now);
+        }
+        recovery
+    }
+
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    pub fn verdict(&self) -> Option<&Verdict> {
+        self.verdict.as_ref()
+    }
+
+    pub fn found(&self) -> &Found {
+        &self.found
+    }
+
+    fn about(&self, now: Duration) -> About {
+        About {
+            starts: self.starts,
+            life: self.settings.life,
+            up_ms: now.saturating_sub(self.begun).as_millis() as u64,
+            was_clean: self.found.was_clean(),
+            full: self.stage == Stage::Full,
+        }
+    }
+
+    /// What is noted for the next start.
+    pub fn mark(&self, at: crate::Moment) -> Mark {
+        Mark {
+            name: self.settings.name.clone(),
+            starts: self.starts,
+            clean: self.stopped,
+            settled: self.verdict.is_some(),
+            at,
+            back_at: self.back_at,
+            seen: self.seen.clone(),
+        }
+    }
+
+    /// A planned stop: all that was open has its final answer.
+    pub fn stopped(&mut self) {
+        self.stopped = true;
+    }
+
+    // --- Asks and answers ---
+
+    /// A member is there: it is asked.
+    pub fn member(&mut self, now: Duration, name: &str) {
+        if self.verdict.is_some() || !self.asked.contains_key(name) && self.asked.len() >= ASKED_MOST {
+            return;
+        }
+        self.met.insert(name.to_owned());
+        self.asked.entry(name.to_owned()).or_default();
+        self.ask(now, name);
+    }
+
+    fn ask(&mut self, now: Duration, name: &str) {
+        let me = self.about(now);
+        let Some(asked) =
+            self.asked.get_mut(name).filter(|asked| asked.heard.is_none() && asked.again <= now)
+        else {
+            return;
+        };
+        asked.again = now + ASK_AGAIN;
+        self.outputs.push(Output::Tell { to: name.to_owned(), bytes: Said::Ask { me }.bytes() });
+    }
+
+    /// What the number of starts heard of a member was before its present start; and notes the present one.
+    fn see(&mut self, name: &str, me: &About) -> u64 {
+        if !self.seen.contains_key(name) && self.seen.len() >= SEEN_MOST {
+            return 0;
+        }
+        let seen = self.seen.entry(name.to_owned()).or_default();
+        // A start is known by its life, however often it asks; its number may be one that an older copy makes it use again.
+        match self.before.get(name) {
+            Some((present, before)) if *present == me.life => {
+                *seen = me.starts.max(*seen);
+                *before
+            }
+            Some(_) | None => {
+                let before = *seen;
+                self.before.insert(name.to_owned(), (me.life, before));
+                *seen = before.max(me.starts);
+                before
+            }
+        }
+    }
+
+    pub fn told(&mut self, now: Duration, from: &str, bytes: &[u8]) -> Result<(), Unread> {
+        match Said::read(bytes)? {
+            Said::Ask { me } => {
+                let yours = self.see(from, &me);
+                let said = Said::Answer { me: self.about(now), yours };
+                self.outputs.push(Output::Tell { to: from.to_owned(), bytes: said.bytes() });
+            }
+            Said::Answer { me, yours } => {
+                self.see(from, &me);
+                if let Some(asked) = self.asked.get_mut(from).filter(|asked| asked.heard.is_none()) {
+                    asked.heard = Some(Heard { me, yours });
+                }
+                // It may come from one that heard of this very start before: that is no later one.
+                self.judge_if_told(now);
+            }
+        }
+        Ok(())
+    }
+
+    /// All answered, or the time for it is over. Where nobody was known, those who answer may not be all yet.
+    fn judge_if_told(&mut self, now: Duration) {
+        if self.verdict.is_some() {
+            return;
+        }
+        let all = !self.asked.is_empty() && self.asked.values().all(|asked| asked.heard.is_some());
+        let early = if self.found.known.is_empty() { self.settings.ask / 2 } else { Duration::ZERO };
+        if now >= self.begun + self.settings.ask || all && now >= self.begun + early {
+            self.judge(now);
+        }
+    }
+
+    fn judge(&mut self, now: Duration) {
+        let heard: Vec<Heard> = self.asked.values().filter_map(|asked| asked.heard.clone()).collect();
+        let silent = self.asked.len() - heard.len();
+        let verdict = judge(&self.found, &heard, silent, now.saturating_sub(self.begun));
+        // A later start that others know of is not to be used again.
+        self.starts = self.starts.max(verdict.latest + 1);
+        if verdict.kind == Kind::LossOfMany {
+            self.back_at = Some(self.begun);
+        }
+        let staged = verdict.kind == Kind::LossOfMany && !verdict.others_full;
+        self.outputs.push(Output::Judged(verdict.clone()));
+        self.verdict = Some(verdict);
+        self.enter(now, if staged { Stage::Synchronous } else { Stage::Full });
+    }
+
+    // --- Stages ---
+
+    fn enter(&mut self, now: Duration, stage: Stage) {
+        (self.stage, self.since, self.calm) = (stage, now, now);
+        self.look_at = now + CALM / 2;
+        if stage == Stage::Backlog {
+            self.backlog = Backlog::new(now, self.settings.out);
+        }
+        self.outputs.push(Output::Stage(stage));
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        match self.stage {
+            Stage::Asking => {
+                let again = self
+                    .asked
+                    .iter()
+                    .filter(|(name, asked)| asked.heard.is_none() && self.met.contains(*name));
+                let again = again.map(|(_, asked)| asked.again);
+                let early = Some(self.begun + self.settings.ask / 2).filter(|at| *at > self.look_at);
+                again.chain(early).chain([self.begun + self.settings.ask]).min()
+            }
+            Stage::Synchronous | Stage::Timers => Some(self.look_at),
+            Stage::Backlog => Some(self.backlog.next_due()),
+            Stage::Full => None,
+        }
+    }
+
+    pub fn due(&mut self, now: Duration) {
+        let over = now >= self.begun + self.settings.longest;
+        match self.stage {
+            Stage::Asking => {
+                self.look_at = self.look_at.max(now);
+                let names: Vec<String> = self.met.iter().cloned().collect();
+                names.iter().for_each(|name| self.ask(now, name));
+                self.judge_if_told(now);
+            }
+            Stage::Synchronous if now >= self.look_at => {
+                self.look_at = now + CALM / 4;
+                let (put_off, let_in) = self.loads.look();
+                if put_off as f64 > CALM_SHARE * (put_off + let_in) as f64 {
+                    self.calm = now;
+                }
+                if over || now >= self.calm + CALM {
+                    self.enter(now, Stage::Backlog);
+                }
+            }
+            Stage::Backlog => {
+                self.backlog.due(now);
+                // At its most it is no pace any more.
+                if over || self.backlog.full() {
+                    self.enter(now, Stage::Timers);
+                }
+            }
+            Stage::Timers if now >= self.look_at => self.enter(now, Stage::Full),
+            Stage::Synchronous | Stage::Timers | Stage::Full => {}
+        }
+    }
+
+    // --- What is let in ---
+
+    /// Whether a job that the store shows as waiting may have run all the same.
+    pub fn waiting_in_doubt(&self) -> bool {
+        self.verdict.as_ref().is_none_or(|verdict| waiting_in_doubt(verdict, self.settings.store))
+    }
+
+    /// The number of this start.
+    pub fn starts(&self) -> u64 {
+        self.starts
+    }
+
+    /// How long a call that may repeat a fingerprinted job has to stay away; its `window` is how long workers would know it.
+    /// After that no repeat of a job from before the loss may come any more.
+    pub fn repeats_wait(&self, now: Duration, window: Duration) -> Option<Duration> {
+        if self.settings.fingerprints_on_disk {
+            return None;
+        }
+        if self.verdict.is_none() {
+            return Some(COME_BACK);
+        }
+        let until = self.back_at? + window;
+        (now < until).then(|| until - now)
+    }
+
+    /// Whether a fingerprinted job that was out at the end of the last life may be sent again.
+    pub fn repeats_known(&self) -> bool {
+        self.verdict
+            .as_ref()
+            .is_some_and(|verdict| repeats_known(verdict, self.settings.fingerprints_on_disk))
+    }
+
+    /// Whether a synchronous job may go on, by its function and worth; else when to come back.
+    pub fn admit(&mut self, now: Duration, function: &str, worth: f64) -> Result<(), Duration> {
+        match self.stage {
+            Stage::Synchronous | Stage::Backlog => self.loads.ask(now, function, worth),
+            Stage::Asking | Stage::Timers | Stage::Full => Ok(()),
+        }
+    }
+
+    /// A synchronous job had its final answer, in its time or not.
+    pub fn answered(&mut self, kept: bool) {
+        if self.stage == Stage::Backlog {
+            self.backlog.answered(kept);
+        }
+    }
+
+    /// Deferred jobs that may be out at a time; `None`: as many as the settings allow.
+    pub fn backlog(&self) -> Option<usize> {
+        match self.stage {
+            Stage::Asking | Stage::Synchronous => Some(0),
+            Stage::Backlog => Some(self.backlog.out()),
+            Stage::Timers | Stage::Full => None,
+        }
+    }
+
+    /// No deferred job is due any more: the backlog is through, whatever might have been let in.
+    pub fn backlog_through(&mut self, now: Duration) {
+        if self.stage == Stage::Backlog {
+            self.enter(now, Stage::Timers);
+        }
+    }
+
+    pub fn timers(&self) -> bool {
+        self.stage >= Stage::Timers
+    }
+
+    pub fn loads_ahead(&self, now: Duration) -> bool {
+        self.stage == Stage::Full && now >= self.ration_until
+    }
+
+    /// Goes to full service at once, as an operator says; what may not run twice stays as judged.
+    pub fn force(&mut self, now: Duration) {
+        if self.verdict.is_none() {
+            self.judge(now);
+        }
+        if self.stage != Stage::Full {
+            self.enter(now, Stage::Full);
+        }
+    }
+
+    pub fn view(&self, now: Duration) -> View {
+        let rows = self
+            .verdict
+            .as_ref()
+            .map(|verdict| beliefs(verdict, self.settings.fingerprints_on_disk, self.settings.store));
+        let silent = |(name, asked): (&String, &Asked)| asked.heard.is_none().then(|| name.clone());
+        let paced = matches!(self.stage, Stage::Synchronous | Stage::Backlog);
+        View {
+            starts: self.starts,
+            stage: self.stage,
+            stage_for: now.saturating_sub(self.since).as_secs(),
+            up: now.saturating_sub(self.begun).as_secs(),
+            verdict: self.verdict.clone(),
+            beliefs: rows
+                .into_iter()
+                .flatten()
+                .map(|(thing, belief, why)| (thing, belief, why.to_owned()))
+                .collect(),
+            waits_for: if self.verdict.is_none() {
+                self.asked.iter().filter_map(silent).collect()
+            } else {
+                Vec::new()
+            },
+            loads: paced.then(|| self.loads.window()),
+            backlog: (self.stage == Stage::Backlog).then(|| self.backlog.out()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzdrift-recovery/src/topics.rs
@@ -0,0 +1,89 @@
+//! What members ask and answer beside the membership: the body of `Part::Told`, by topic, in postcard's published format.
+//!
+//! An answer is worth what it proves. `yours` can only rise: an old, doubled or restored member says a lower number, which
+//! changes nothing. Nobody's word makes anything believed; it makes less believed, and what that can cost is bounded.
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The topic of this package; others are of other packages.
+pub const RECOVERY: u8 = 1;
+/// Bytes of a topic's body at most: it has to fit beside a head, a tag and news.
+pub const BYTES_MOST: usize = 256;
+
+/// What a member says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    /// Counts its starts; never less than any that another has heard of.
+    pub starts: u64,
+    /// Drawn at its start: a number that was used twice is told by it.
+    pub life: u64,
+    /// Since its start.
+    pub up_ms: u64,
+    /// Whether it had stopped as planned before, or never run.
+    pub was_clean: bool,
+    /// Whether it is at full service.
+    pub full: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Said {
+    /// This is me; what do you know of me?
+    Ask { me: About },
+    /// This is me. Before the start that you told of, the highest of your starts that I know is `yours`; 0: none.
+    Answer { me: About, yours: u64 },
+}
+
+/// Why a body is not understood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    TooLong,
+    Foreign,
+}
+
+impl fmt::Display for Unread {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Unread::TooLong => write!(f, "it is longer than {BYTES_MOST} bytes"),
+            Unread::Foreign => f.write_str("it is not of this release's form"),
+        }
+    }
+}
+
+impl Said {
+    pub fn bytes(&self) -> Vec<u8> {
+        // Numbers and flags alone: writing them into memory cannot fail.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    pub fn read(bytes: &[u8]) -> Result<Said, Unread> {
+        match bytes.len() <= BYTES_MOST {
+            true => postcard::from_bytes(bytes).map_err(|_| Unread::Foreign),
+            false => Err(Unread::TooLong),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    proptest::proptest! {
+        #[test]
+        fn what_was_said_is_read_and_any_bytes_are_read_or_refused(
+            starts: u64, life: u64, up_ms: u64, was_clean: bool, full: bool, yours: u64, bytes: Vec<u8>
+        ) {
+            let me = About { starts, life, up_ms, was_clean, full };
+            for said in [Said::Ask { me: me.clone() }, Said::Answer { me, yours }] {
+                proptest::prop_assert!(said.bytes().len() <= BYTES_MOST);
+                proptest::prop_assert_eq!(Said::read(&said.bytes()), Ok(said));
+            }
+            let _ = Said::read(&bytes);
+        }
+    }
+
+    #[test]
+    fn what_is_too_long_is_refused_unread() {
+        assert_eq!(Said::read(&[0; BYTES_MOST + 1]), Err(Unread::TooLong));
+        assert_eq!(Said::read(&[9]), Err(Unread::Foreign));
+    }
+}
--- a/crates/quartzdrift-timers/src/lib.rs
+++ b/crates/quartzdrift-timers/src/lib.rs
@@ -1,11 +1,10 @@
 //! Which timer fires when. No I/O, no clock: times are since 1970 and come from the caller.
 //!
-//! [`Timers::new`] from the settings and the moment of start; [`Timers::due`] for what fires now. A firing is a
+//! [`Timers::new`] from the settings and the moment up to which an earlier start looked, or that of this start; [`Timers::due`] for what fires now. A firing is a
 //! job like any other; [`Timers::over`] tells that it has had its final answer, for timers that may not overlap.
 //!
 //! A firing is *missed* where the process was busy or asleep past its moment by more than [`LATE`], or where the
-//! clock was set ahead. Firings before the start of the process are not looked for: no instance knows whether
-//! another one fired then. In the hour that a zone repeats in autumn, a time of day comes once; in the hour that
+//! clock was set ahead, or where the process was down since its last look. In the hour that a zone repeats in autumn, a time of day comes once; in the hour that
 //! it skips in spring, the firing is at the first moment that exists (both as the cron library has it).
 use chrono::{DateTime, Utc};
 use chrono_tz::Tz;
--- a/crates/quartzdrift/src/gateway/ahead.rs
+++ b/crates/quartzdrift/src/gateway/ahead.rs
@@ -74,7 +74,8 @@
         let expected =
             if loads.next_due().is_some_and(|at| at <= now) { loads.ahead.due(now) } else { Vec::new() };
         let saves = loads.save_at <= now;
-        for of in expected {
+        let let_in = self.returning.as_ref().is_none_or(|returning| returning.machine.loads_ahead(now));
+        for of in expected.into_iter().filter(|_| let_in) {
             let Some(function) = self.settings.function(&of.function) else { continue };
             let expectation = Expectation {
                 function: &of.function,
--- a/crates/quartzdrift/src/gateway/clients.rs
+++ b/crates/quartzdrift/src/gateway/clients.rs
@@ -84,6 +84,10 @@
         let workload = &self.settings.choice.workloads[function.workload as usize];
         let limit = workload.time_limit.unwrap_or(Duration::MAX);
         let left = call.left_ms.map_or(limit, |ms| limit.min(Duration::from_millis(ms)));
+        let is_retry = head.headers.get("x-quartzdrift-retry").is_some();
+        let let_in = self.let_in(&name, function.workload, call.mark.is_some(), is_retry);
+        let_in.map_err(|wait| Problem::Busy(Some(wait)))?;
+        let workload = &self.settings.choice.workloads[function.workload as usize];
         // A fingerprinted job that came without a mark is marked by its own identity, for further executions.
         let mark = call.mark.or_else(|| (workload.effect == Effect::Fingerprinted).then(|| id.to_string()));
         let work = Work {
@@ -94,9 +98,11 @@
             mark,
             customer: customer.1,
             streams: workload.streams,
+            function: Rc::from(name.as_str()),
+            workload: function.workload,
+            taken: self.now(),
         };
         self.note_use(&name, &function, customer.0, left);
-        let is_retry = head.headers.get("x-quartzdrift-retry").is_some();
         let new = new_job(&function, name.into(), customer.0, left, is_retry, Rc::new(work));
         match self.desk.job(self.now(), new) {
             Ok(job) => {
--- a/crates/quartzdrift/src/gateway/fleet.rs
+++ b/crates/quartzdrift/src/gateway/fleet.rs
@@ -123,6 +123,12 @@
     read.inspect_err(|e| tracing::warn!(error = %e, "the saved members are set aside")).ok()
 }
 
+/// Names of those that counted when this was saved: all but the dead and those that left.
+pub(super) fn known(folder: Option<&std::path::Path>) -> Vec<String> {
+    let there = |m: &Seen| matches!(m.state, State::Alive | State::Suspect);
+    last(folder).into_iter().flat_map(|view| view.members).filter(there).map(|m| m.name).collect()
+}
+
 impl Gateway {
     pub(super) fn start_fleet(&mut self, handle: &LoopHandle<'static, Gateway>) -> io::Result<()> {
         let Some(Told { mut members, listen, silent }) = self.settings.fleet.clone() else { return Ok(()) };
@@ -193,7 +199,7 @@
     fn fleet_changed(&mut self) {
         let now = self.now();
         let Some(fleet) = &mut self.fleet else { return };
-        let mut changed = false;
+        let (mut changed, mut told, mut met) = (false, Vec::new(), Vec::new());
         for output in fleet.members.outputs() {
             match output {
                 Output::Send { to, bytes } => {
@@ -204,6 +210,9 @@
                     changed = true;
                     let (name, address, state) = (&m.name, m.address, m.state);
                     tracing::info!(%name, %address, ?state, incarnation = m.incarnation, "member");
+                    if state == State::Alive {
+                        met.push(m.name);
+                    }
                 }
                 Output::Refused { from, why } => {
                     let key = (from.ip(), why);
@@ -220,10 +229,7 @@
                     let mend = "give each scheduler a name of its own in [fleet]";
                     tracing::error!(%by, mend, "another member bears our name: others do not hear us");
                 }
-                // Of a later release: nothing that is told is of use to this one.
-                Output::Told { from, topic, bytes } => {
-                    tracing::debug!(%from, topic, bytes = bytes.len(), "told something unknown");
-                }
+                Output::Told { from, topic, bytes } => told.push((from, topic, bytes)),
             }
         }
         let schedulers = fleet.count.now(now, changed, fleet.members.others());
@@ -233,6 +239,38 @@
             self.desk.schedulers(now, schedulers);
             self.carry_out();
         }
+        self.hear(now, met, told);
+    }
+
+    /// What members tell goes by its topic.
+    fn hear(&mut self, now: Duration, met: Vec<Rc<str>>, told: Vec<(Rc<str>, u8, Vec<u8>)>) {
+        if met.is_empty() && told.is_empty() {
+            return;
+        }
+        if let Some(returning) = &mut self.returning {
+            met.iter().for_each(|name| returning.machine.member(now, name));
+        }
+        for (from, topic, bytes) in told {
+            let heard = match (topic, &mut self.returning) {
+                (quartzdrift_recovery::RECOVERY, Some(returning)) => {
+                    returning.machine.told(now, &from, &bytes)
+                }
+                // Of a later release, or of no use to one that keeps nothing.
+                (_, _) => Ok(()),
+            };
+            if let Err(why) = heard {
+                tracing::warn!(%from, topic, %why, "what a member tells is not understood");
+            }
+        }
+        self.returned();
+    }
+
+    pub(super) fn tell_member(&mut self, to: &str, topic: u8, bytes: Vec<u8>) {
+        let Some(fleet) = &mut self.fleet else { return };
+        fleet.members.tell(to, topic, bytes);
+        for output in fleet.members.outputs_to_send() {
+            fleet.unsent += u64::from(fleet.socket.send_to(&output.1, output.0).is_err());
+        }
     }
 
     fn save_fleet(&mut self) {
--- a/crates/quartzdrift/src/gateway/fronts.rs
+++ b/crates/quartzdrift/src/gateway/fronts.rs
@@ -59,7 +59,7 @@
     }
 
     pub(super) fn fronts_due(&mut self, now: Duration) {
-        if self.stopping.is_none() && self.timers.next_due().is_some_and(|at| at <= now) {
+        if self.timers_due().is_some_and(|at| at <= now) {
             self.fire(now);
         }
         while self.deferred_due().is_some_and(|at| at <= now)
@@ -79,6 +79,9 @@
                 }
             }
         }
+        if !firings.is_empty() {
+            self.note_mark();
+        }
         for firing in firings {
             let of = self.settings.timers.iter().find(|(timer, _)| timer.name == firing.timer);
             let payload = of.map_or_else(|| Rc::from([]), |(_, payload)| payload.clone());
@@ -107,6 +110,9 @@
             mark: job.mark,
             customer: self.settings.choice.customers.get(job.customer as usize).map(|c| c.name.clone()),
             streams: false,
+            function: Rc::from(job.function.as_str()),
+            workload: function.workload,
+            taken: self.now(),
         };
         let left = left.map_or(limit, |left| left.min(limit));
         self.note_use(&job.function, &function, job.customer, left);
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -7,10 +7,12 @@
 //! * `fleet`: other schedulers.
 //! * `store`: deferred jobs on disk.
 //! * `fronts`: deferred jobs and timers.
+//! * `recovery`: from the start to full service.
 mod ahead;
 mod clients;
 pub mod fleet;
 mod fronts;
+mod recovery;
 mod roster;
 mod store;
 mod workers;
@@ -50,6 +52,9 @@
     pub mark: Option<String>,
     pub customer: Option<String>,
     pub streams: bool,
+    pub function: Rc<str>,
+    pub workload: u32,
+    pub taken: Duration,
 }
 
 /// What a call of ours is for.
@@ -59,6 +64,7 @@
         execution: u32,
         work: Rc<Work>,
         worker: Rc<str>,
+        sent: Duration,
         began: bool,
     },
     Probe {
@@ -113,6 +119,7 @@
     roster: roster::Source,
     ahead: Option<ahead::Loads>,
     fleet: Option<fleet::Fleet>,
+    returning: Option<recovery::Returning>,
     recorder: Option<Recorder>,
     saver: Option<Saver>,
     stopping: Option<Duration>,
@@ -128,9 +135,14 @@
 impl Gateway {
     /// A gateway with the list of workers that it last saved, or the one of the settings.
     pub fn new(settings: Settings, handle: LoopHandle<'static, Gateway>) -> std::io::Result<Gateway> {
-        let clock = Clock::start();
+        let moment = crate::clock::moment();
+        let found = recovery::found(&settings, moment.clone());
+        let before = found.as_ref().and_then(|found| found.mark.as_ref()).map(|mark| mark.at.clone());
+        let clock = Clock::resume(&moment, before.as_ref());
         let seed = settings.seed.unwrap_or_else(rand::random);
         let saver = settings.state.clone().map(Saver::start).transpose()?;
+        // What this instance did not look at while it was away was missed.
+        let looked = before.map_or(clock.now(), |before| before.wall);
         let timers = settings.timers.iter().map(|(timer, _)| timer.clone()).collect();
         let settings = Rc::new(settings);
         let mut gateway = Gateway {
@@ -145,22 +157,25 @@
             in_hand: None,
             deferred: Queue::new(settings.deferred.clone(), Changes::new(settings.store.is_some()), seed),
             store: None,
-            timers: Timers::new(timers, seed, clock.now()),
+            timers: Timers::new(timers, seed, looked),
             clock,
             belief: Belief::default(),
             roster: roster::Source::new(&settings),
             ahead: None,
             fleet: None,
+            returning: None,
             recorder: settings.record.as_ref().map(Recorder::start).transpose()?,
             saver,
             stopping: None,
             counts: Counts::default(),
             settings,
         };
+        gateway.start_recovery(found)?;
         gateway.first_list();
         gateway.start_ahead();
-        gateway.start_fleet(&handle)?;
         gateway.start_store(&handle)?;
+        gateway.start_fleet(&handle)?;
+        gateway.returned();
         Ok(gateway)
     }
 
@@ -196,7 +211,8 @@
         let own = [
             self.desk.next_due(),
             self.deferred_due(),
-            self.timers.next_due().filter(|_| self.stopping.is_none()),
+            self.timers_due(),
+            self.recovery_next(),
             self.roster.next_due(),
             self.ahead.as_ref().and_then(ahead::Loads::next_due),
             self.fleet.as_ref().map(fleet::Fleet::next_due),
@@ -219,6 +235,7 @@
         self.roster_due(now);
         self.ahead_due(now);
         self.fleet_due(now);
+        self.recovery_due(now);
         self.fronts_due(now);
         self.hand_over();
     }
@@ -304,6 +321,7 @@
         *count += 1;
         tracing::debug!(job, id = %work.id, ?answer, "final answer");
         let said = self.in_hand.take();
+        self.job_answered(work, answer);
         match work.origin {
             Origin::Client(exchange) => self.answer_client(exchange, work, answer, said),
             Origin::Deferred(id) => self.try_ended(id, answer, said),
@@ -333,6 +351,12 @@
         self.deferred.next_due().filter(|_| self.stopping.is_none() || self.store.is_none())
     }
 
+    /// When a timer fires here.
+    fn timers_due(&self) -> Option<Duration> {
+        let let_in = self.returning.as_ref().is_none_or(|returning| returning.machine.timers());
+        self.timers.next_due().filter(|_| self.stopping.is_none() && let_in)
+    }
+
     /// Whether a stop is complete.
     pub fn stopped(&self) -> bool {
         let Some(until) = self.stopping else { return false };
@@ -353,6 +377,7 @@
         self.close_store();
         self.save_ahead();
         self.leave_fleet();
+        self.note_stop();
         tracing::info!(counts = ?self.counts, "stopped");
     }
 
--- /dev/null
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -0,0 +1,304 @@
+//! From the start to full service: what was found on disk goes to `quartzdrift-recovery`, which says what is believed and what
+//! is let in; here it is carried out. Off without `gateway.state`: then every start is taken as it was before.
+use super::{Gateway, Origin, Work};
+use crate::saved::{self, ASIDE, FORCE, MARK, MEMBERS, STAGES, WORKERS};
+use crate::settings::Settings;
+use quartzdrift_choice::interface::{Effect, Found as Copy, ListForm, Outcome, State};
+use quartzdrift_deferred::After;
+use quartzdrift_desk::FinalAnswer;
+use quartzdrift_recovery::{Age, Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings as Told, Stage};
+use quartzdrift_store::Live;
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+/// How often the mark for the next start is noted.
+const NOTE_EVERY: Duration = Duration::from_secs(2);
+/// How often an operator's word is looked for while service returns.
+const FORCE_EVERY: Duration = Duration::from_millis(500);
+/// How late a job may start where no start target is told, beside its own work.
+const TARGET_UNTOLD: Duration = Duration::from_secs(1);
+
+pub(super) struct Returning {
+    pub machine: Recovery,
+    note_at: Duration,
+    force_at: Duration,
+    /// Deferred jobs of before, until it is known what they may do.
+    pub held: Vec<Live>,
+}
+
+/// Whose a store of deferred jobs is, beside it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Owner {
+    pub name: String,
+    /// Its start that opened the store last.
+    pub starts: u64,
+}
+
+fn name(settings: &Settings) -> String {
+    settings.fleet.as_ref().map(|fleet| fleet.members.name.clone()).unwrap_or_default()
+}
+
+/// What an earlier start left in its folder; for the clock as well.
+pub(super) fn found(settings: &Settings, now: Moment) -> Option<Found> {
+    let folder = settings.state.as_deref()?;
+    let known = super::fleet::known(Some(folder));
+    let without = |disk| Found { mark: None, disk, known: known.clone(), now: now.clone() };
+    let read =
+        saved::last(folder, MARK).map(|bytes| bytes.map(|bytes| serde_json::from_slice::<Mark>(&bytes)));
+    Some(match read {
+        Ok(Some(Ok(mark))) => Found::marked(mark, &name(settings), known, now),
+        Ok(None) => {
+            let any = [MEMBERS, WORKERS].iter().any(|file| folder.join(file).exists());
+            without(if any { Disk::Unmarked } else { Disk::Empty })
+        }
+        Ok(Some(Err(_))) | Err(_) => {
+            // For whoever looks into it, and out of the way of the next mark.
+            let (file, aside) = (folder.join(MARK), folder.join(ASIDE));
+            drop(std::fs::remove_file(&aside).or_else(|_| std::fs::remove_dir_all(&aside)));
+            let moved = std::fs::rename(&file, &aside).is_ok();
+            tracing::error!(moved, folder = %folder.display(), "the mark of the last start is damaged: as little as can be is believed");
+            without(Disk::Spoilt)
+        }
+    })
+}
+
+/// The store's owner, as noted there; `Err`: another scheduler's, whose jobs must not run here as well.
+pub(super) fn owner(path: &Path, settings: &Settings) -> io::Result<Option<u64>> {
+    let Some(bytes) = saved::last(path, MARK)? else { return Ok(None) };
+    let owner: Owner = serde_json::from_slice(&bytes).map_err(io::Error::other)?;
+    match owner.name == name(settings) {
+        true => Ok(Some(owner.starts)),
+        false => Err(io::Error::other(format!(
+            "it is the store of the scheduler '{}'; give this one a folder of its own, or remove {MARK} from it if that \
+             scheduler will not come back",
+            owner.name
+        ))),
+    }
+}
+
+impl Gateway {
+    pub(super) fn start_recovery(&mut self, found: Option<Found>) -> io::Result<()> {
+        let Some(found) = found else { return Ok(()) };
+        let settings = self.settings.clone();
+        let store = settings.store.as_deref().map(|path| owner(path, &settings)).transpose();
+        let store = store.map_err(|e| io::Error::other(format!("deferred jobs: {e}")))?.flatten();
+        let told = Told {
+            name: name(&settings),
+            fleet: settings.fleet.is_some(),
+            ask: settings.recovery.ask,
+            longest: settings.recovery.longest,
+            fingerprints_on_disk: settings.recovery.fingerprints_on_disk,
+            load_window: settings.choice.copies.load_window.unwrap_or_default(),
+            out: settings.deferred.out,
+            schedulers: settings.choice.schedulers.unwrap_or(1).max(found.known.len() as u32 + 1),
+            store,
+            life: self.identity,
+            seed: self.identity,
+        };
+        let (now, was_clean) = (self.now(), found.was_clean());
+        tracing::info!(disk = ?found.disk, age = ?found.age(), was_clean, "found of before");
+        let machine = Recovery::new(told, found, now);
+        self.returning = Some(Returning { machine, note_at: now, force_at: now, held: Vec::new() });
+        // Noted before anything leaves: whoever starts next knows that this start was.
+        self.note_start()
+    }
+
+    /// Notes this start's number in both folders, the store's first, and waits until it lasts.
+    fn note_start(&self) -> io::Result<()> {
+        let (Some(returning), Some(folder)) = (&self.returning, &self.settings.state) else { return Ok(()) };
+        let starts = returning.machine.starts();
+        let unusable = |folder: &Path, e: io::Error| {
+            io::Error::new(e.kind(), format!("the start cannot be noted in {}: {e}", folder.display()))
+        };
+        if let Some(path) = &self.settings.store {
+            let owner = serde_json::to_vec(&Owner { name: name(&self.settings), starts })
+                .map_err(io::Error::other)?;
+            std::fs::create_dir_all(path)
+                .and_then(|()| saved::write(path, MARK, &owner))
+                .map_err(|e| unusable(path, e))?;
+        }
+        let mark =
+            serde_json::to_vec(&returning.machine.mark(self.clock.note())).map_err(io::Error::other)?;
+        saved::write(folder, MARK, &mark).map_err(|e| unusable(folder, e))
+    }
+
+    /// Has the mark for the next start written soon.
+    pub(super) fn note_mark(&mut self) {
+        let (now, at) = (self.now(), self.clock.note());
+        let (Some(returning), Some(saver)) = (&mut self.returning, &self.saver) else { return };
+        returning.note_at = now + NOTE_EVERY;
+        for (name, bytes) in [
+            (MARK, serde_json::to_vec(&returning.machine.mark(at))),
+            (STAGES, serde_json::to_vec_pretty(&returning.machine.view(now))),
+        ] {
+            if let Ok(bytes) = bytes {
+                saver.save(name, bytes);
+            }
+        }
+    }
+
+    pub(super) fn recovery_next(&self) -> Option<Duration> {
+        let returning = self.returning.as_ref()?;
+        let force = (returning.machine.stage() != Stage::Full).then_some(returning.force_at);
+        [Some(returning.note_at), returning.machine.next_due(), force].into_iter().flatten().min()
+    }
+
+    pub(super) fn recovery_due(&mut self, now: Duration) {
+        let Some(returning) = &mut self.returning else { return };
+        if returning.machine.next_due().is_some_and(|at| at <= now) {
+            returning.machine.due(now);
+        }
+        if returning.machine.stage() != Stage::Full && returning.force_at <= now {
+            returning.force_at = now + FORCE_EVERY;
+            let file = self.settings.state.as_ref().map(|folder| folder.join(FORCE));
+            if file.is_some_and(|file| file.exists() && std::fs::remove_file(file).is_ok()) {
+                tracing::warn!("service is forced by an operator");
+                returning.machine.force(now);
+            }
+        }
+        if !self.deferred.is_busy(now) {
+            returning.machine.backlog_through(now);
+        }
+        let notes = returning.note_at <= now;
+        self.returned();
+        if notes {
+            self.note_mark();
+        }
+    }
+
+    /// Carries out what the machine says.
+    pub(super) fn returned(&mut self) {
+        let Some(returning) = &mut self.returning else { return };
+        let outputs = returning.machine.outputs();
+        for output in outputs {
+            match output {
+                Output::Tell { to, bytes } => self.tell_member(&to, quartzdrift_recovery::RECOVERY, bytes),
+                Output::Judged(verdict) => {
+                    let (kind, disk) = (verdict.kind, verdict.disk);
+                    let (answered, lost, silent) = (verdict.answered, verdict.lost, verdict.silent);
+                    tracing::info!(%kind, ?disk, answered, lost, silent, "start judged");
+                    if let Err(e) = self.note_start() {
+                        tracing::error!(error = %e, "the next start may not know of this one");
+                    }
+                    if kind == Kind::LossOfMany {
+                        self.doubt_workers();
+                    }
+                    self.restore_held();
+                }
+                Output::Stage(stage) => {
+                    tracing::info!(%stage, "service returns");
+                    self.allow_deferred();
+                    self.note_mark();
+                }
+            }
+        }
+        self.allow_deferred();
+    }
+
+    /// Workers that no list has told of since are cold: they lost power too.
+    fn doubt_workers(&mut self) {
+        if self.roster.has_come() {
+            return;
+        }
+        let now = self.now();
+        let mut workers = self.belief.workers();
+        workers.iter_mut().filter(|w| w.state == State::Up).for_each(|w| w.started = Some(now));
+        self.give_list(ListForm::Changes, &workers);
+    }
+
+    /// Deferred jobs of before, once it is known what they may do.
+    fn restore_held(&mut self) {
+        let Some(returning) = &mut self.returning else { return };
+        let held = std::mem::take(&mut returning.held);
+        let machine = &returning.machine;
+        let after = After { repeats_known: machine.repeats_known(), older: machine.waiting_in_doubt() };
+        // An outage that only the wall clock tells of does not age them: that clock may have been set ahead.
+        let unproven = match machine.found().age() {
+            Some(age @ Age::Claimed(claimed)) => claimed.saturating_sub(age.surely(&machine.found().now)),
+            Some(Age::Told(_) | Age::AtLeast(_)) | None => Duration::ZERO,
+        };
+        self.restore(held, after, unproven);
+    }
+
+    fn allow_deferred(&mut self) {
+        let most = self.settings.deferred.out;
+        let allowed = self.returning.as_ref().and_then(|returning| returning.machine.backlog());
+        self.deferred.allow(allowed.unwrap_or(most));
+    }
+
+    /// Whether a synchronous call may become a job now; else when to come back. `mark`: its client's own.
+    pub(super) fn let_in(
+        &mut self,
+        name: &str,
+        workload: u32,
+        mark: bool,
+        is_retry: bool,
+    ) -> Result<(), Duration> {
+        let now = self.now();
+        let of = &self.settings.choice.workloads[workload as usize];
+        let marks_retries = self.settings.choice.clients_mark_retries;
+        let Some(returning) = &mut self.returning else { return Ok(()) };
+        let may_repeat = of.effect == Effect::Fingerprinted && mark && (is_retry || !marks_retries);
+        if may_repeat && let Some(wait) = returning.machine.repeats_wait(now, of.window.unwrap_or_default()) {
+            return Err(wait);
+        }
+        returning.machine.admit(now, name, of.importance.unwrap_or(1.0))
+    }
+
+    /// An execution has told whether its function's copy stood.
+    pub(super) fn execution_told(&mut self, name: &str, outcome: Outcome, found: Copy, sent: Duration) {
+        let (now, hint) = (self.now(), self.settings.function(name).and_then(|function| function.load));
+        let paced = |returning: &&mut Returning| {
+            matches!(returning.machine.stage(), Stage::Synchronous | Stage::Backlog)
+        };
+        let Some(returning) = self.returning.as_mut().filter(paced) else { return };
+        let (loads, took) = (&mut returning.machine.loads, now.saturating_sub(sent));
+        match (outcome, found) {
+            (Outcome::Miss, _) | (_, Copy::LoadFailed) => loads.refused(now, name),
+            (Outcome::Finished, Copy::Warm) => loads.stood(name),
+            (Outcome::Finished, Copy::BeganLoad | Copy::AwaitedLoad | Copy::Untold) => {
+                loads.loaded(now, name, took, hint)
+            }
+            (_, _) => loads.moot(name),
+        }
+    }
+
+    /// A job had its final answer.
+    pub(super) fn job_answered(&mut self, work: &Work, answer: FinalAnswer) {
+        let now = self.now();
+        let target =
+            self.settings.choice.workloads[work.workload as usize].start_target.unwrap_or(TARGET_UNTOLD);
+        let Some(returning) = self.returning.as_mut().filter(|of| of.machine.stage() != Stage::Full) else {
+            return;
+        };
+        let finished = answer == FinalAnswer::Finished;
+        if !finished {
+            returning.machine.loads.moot(&work.function);
+        }
+        if matches!(work.origin, Origin::Client(_)) && answer != FinalAnswer::Expired {
+            returning.machine.answered(finished && now.saturating_sub(work.taken) <= target);
+        }
+    }
+
+    /// A planned stop, once all has its final answer: the last note.
+    pub(super) fn note_stop(&mut self) {
+        let later = |starts: u64| {
+            let folder = self.settings.state.as_deref()?;
+            let mark: Mark = serde_json::from_slice(&saved::last(folder, MARK).ok()??).ok()?;
+            Some(mark.starts > starts)
+        };
+        let Some(starts) = self.returning.as_ref().map(|returning| returning.machine.starts()) else {
+            return;
+        };
+        // A successor beside us has noted its own start.
+        if later(starts) == Some(true) {
+            return;
+        }
+        if let Some(returning) = &mut self.returning {
+            returning.machine.stopped();
+        }
+        self.note_mark();
+    }
+}
--- a/crates/quartzdrift/src/gateway/roster.rs
+++ b/crates/quartzdrift/src/gateway/roster.rs
@@ -22,6 +22,8 @@
     stream_at: Option<Duration>,
     reader: Reader,
     last: Vec<Listed>,
+    /// Whether a list has come since the start.
+    came: bool,
 }
 
 impl Source {
@@ -37,9 +39,15 @@
             stream_at: at.filter(|_| streams),
             reader: Reader::default(),
             last: Vec::new(),
+            came: false,
         }
     }
 
+    /// Whether a list has come since the start.
+    pub fn has_come(&self) -> bool {
+        self.came
+    }
+
     pub fn next_due(&self) -> Option<Duration> {
         let timeout = self.asked.map(|(_, until)| until);
         [timeout, self.ask_at, self.stream_at].into_iter().flatten().min()
@@ -152,6 +160,7 @@
         for why in &list.unread {
             tracing::warn!(why, "a line of the list of workers is left out");
         }
+        self.roster.came = true;
         let whole = list.unread.is_empty();
         if whole && list.workers == self.roster.last && !list.workers.is_empty() {
             return Ok(());
--- a/crates/quartzdrift/src/gateway/store.rs
+++ b/crates/quartzdrift/src/gateway/store.rs
@@ -6,9 +6,10 @@
 use calloop::LoopHandle;
 use calloop::channel::Event;
 use quartzdrift_choice::interface::Effect;
-use quartzdrift_deferred::{End, Id, Submitted};
+use quartzdrift_deferred::{After, End, Id, Kept, Submitted};
 use quartzdrift_http::Exchange;
 use quartzdrift_invoke::answer::{self, Problem};
+use quartzdrift_store::Live;
 use std::collections::VecDeque;
 use std::io;
 use std::time::{Duration, Instant};
@@ -62,6 +63,27 @@
         handle.insert_source(said, hears).map_err(|e| io::Error::other(e.to_string()))?;
         let (next, handed) = (Waiting::default(), VecDeque::new());
         self.store = Some(Store { durable, next, handed, answers: 0, behind: false, failed: false });
+        self.deferred.reserve(Id(live.iter().map(|of| of.id).max().unwrap_or(0)));
+        let jobs = live.len();
+        tracing::info!(jobs, took = ?start.elapsed(), "deferred jobs read from the store");
+        match &mut self.returning {
+            // Until it is known what they may do, they stay where they are.
+            Some(returning) if returning.machine.verdict().is_none() => returning.held = live,
+            Some(_) | None => {
+                let machine = self.returning.as_ref().map(|returning| &returning.machine);
+                let repeats_known = machine.is_none_or(|machine| machine.repeats_known());
+                let older = machine.is_some_and(|machine| machine.waiting_in_doubt());
+                self.restore(live, After { repeats_known, older }, Duration::ZERO);
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes jobs back; `forgiven`: time in which they are not taken to have aged.
+    pub(super) fn restore(&mut self, live: Vec<Live>, after: After, forgiven: Duration) {
+        if live.is_empty() {
+            return;
+        }
         let (mut over, mut strange) = (0, 0);
         let now = self.now();
         for of in &live {
@@ -70,7 +92,8 @@
                 continue;
             };
             let id = kept.id;
-            let step = self.deferred.restore(now, kept);
+            let taken = (kept.taken + forgiven).min(now.max(kept.taken));
+            let step = self.deferred.restore(now, Kept { taken, ..kept }, after);
             over += u32::from(matches!(step, Some(quartzdrift_deferred::Step::Over(_))));
             self.stepped(id, step, None);
         }
@@ -80,10 +103,9 @@
                 "deferred jobs of another release stay in the store and are not run"
             );
         }
-        let (jobs, took) = (self.deferred.len(), start.elapsed());
-        tracing::info!(jobs, over, ?took, "deferred jobs taken back from the store");
+        let jobs = self.deferred.len();
+        tracing::info!(jobs, over, ?after, "deferred jobs taken back from the store");
         self.hand_over();
-        Ok(())
     }
 
     /// Whether a job that was just taken is answered once it lasts; it then is.
--- a/crates/quartzdrift/src/main.rs
+++ b/crates/quartzdrift/src/main.rs
@@ -57,6 +57,13 @@
     Check { file: PathBuf },
     /// Show the fleet as the gateway of a settings file last saw it (it needs gateway.state)
     Members { file: PathBuf },
+    /// Show how service returns since the last start, and what of before is believed (it needs gateway.state)
+    Recovery {
+        file: PathBuf,
+        /// Go to full service at once; what may not run twice stays as it was judged
+        #[arg(long)]
+        force: bool,
+    },
     /// Look at a store of deferred jobs, or repair a damaged one
     Store {
         #[command(subcommand)]
@@ -177,6 +184,10 @@
             Ok(settings) => members(&settings),
             Err(faults) => say(&faults),
         },
+        Command::Recovery { file, force } => match settings::load(&file) {
+            Ok(settings) => recovery(&settings, force),
+            Err(faults) => say(&faults),
+        },
         Command::Invoke { function, at, payload, file, event, mark, timeout } => {
             let to = match quartzdrift_roster::list::address(&at) {
                 Ok(to) => to,
@@ -224,6 +235,30 @@
     }
 }
 
+/// Prints what a running gateway notes of its return to service, or has it return at once.
+fn recovery(settings: &settings::Settings, force: bool) -> ExitCode {
+    let Some(folder) = &settings.state else {
+        return fail("the settings need gateway.state, where the gateway tells how it starts");
+    };
+    if force {
+        return match std::fs::write(folder.join(saved::FORCE), b"") {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => fail(&format!("{}: {e}", folder.display())),
+        };
+    }
+    match saved::last(folder, saved::STAGES) {
+        Ok(Some(bytes)) => match serde_json::from_slice::<quartzdrift_recovery::View>(&bytes) {
+            Ok(view) => {
+                print!("{}", view.table());
+                ExitCode::SUCCESS
+            }
+            Err(e) => fail(&format!("what was noted of the start cannot be read: {e}")),
+        },
+        Ok(None) => fail("no gateway has run with this state yet"),
+        Err(e) => fail(&format!("{}: {e}", folder.display())),
+    }
+}
+
 fn fail(what: &str) -> ExitCode {
     eprintln!("quartzdrift: {what}");
     ExitCode::FAILURE
--- a/crates/quartzdrift/src/saved.rs
+++ b/crates/quartzdrift/src/saved.rs
@@ -14,6 +14,35 @@
 
 /// Other schedulers, as last believed.
 pub const MEMBERS: &str = "members.json";
+/// What a start goes on from; and, in the folder of deferred jobs, whose they are.
+pub const MARK: &str = "recovery.json";
+/// A mark that could not be read.
+pub const ASIDE: &str = "recovery.aside";
+/// What operators see of a start.
+pub const STAGES: &str = "stages.json";
+/// Made by an operator: service returns at once.
+pub const FORCE: &str = "force";
+
+/// Begins the last line of each file: its checksum (CRC-32) and how many bytes come before it.
+const SEAL: &[u8] = b"\nquartzdrift seal ";
+
+fn seal(bytes: &[u8]) -> Vec<u8> {
+    let line = format!("{:08x} {}\n", crc32fast::hash(bytes), bytes.len());
+    [SEAL, line.as_bytes()].concat()
+}
+
+/// What was sealed; a file of an earlier release bears no seal and is given as it is, unless it `must`.
+fn opened(mut bytes: Vec<u8>, must: bool) -> io::Result<Vec<u8>> {
+    let at = bytes.windows(SEAL.len()).rposition(|part| part == SEAL);
+    match at {
+        Some(at) if seal(&bytes[..at]) == bytes[at..] => bytes.truncate(at),
+        None if !must => {}
+        Some(_) | None => {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "it is damaged or cut short"));
+        }
+    }
+    Ok(bytes)
+}
 
 #[derive(Default)]
 struct Box {
@@ -27,19 +56,21 @@
     thread: Option<JoinHandle<()>>,
 }
 
-fn write(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+/// Writes one thing whole, and returns once it lasts.
+pub fn write(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
     let beside = folder.join(format!("{name}.new"));
     let mut file = File::create(&beside)?;
     file.write_all(bytes)?;
+    file.write_all(&seal(bytes))?;
     file.sync_all()?;
     fs::rename(&beside, folder.join(name))?;
     File::open(folder)?.sync_all()
 }
 
-/// What was saved last; `None` where nothing was.
+/// What was saved last; `None` where nothing was. `Err` of kind `InvalidData`: not what was written.
 pub fn last(folder: &Path, name: &str) -> io::Result<Option<Vec<u8>>> {
     match fs::read(folder.join(name)) {
-        Ok(bytes) => Ok(Some(bytes)),
+        Ok(bytes) => opened(bytes, name == MARK).map(Some),
         Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(e) => Err(e),
     }
@@ -100,6 +131,28 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_file_that_is_not_what_was_written_is_an_error() {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join(MARK);
+        write(folder.path(), MARK, b"{\"starts\": 3}").unwrap();
+        let whole = fs::read(&path).unwrap();
+        assert_eq!(last(folder.path(), MARK).unwrap().unwrap(), b"{\"starts\": 3}");
+        for bit in 0..whole.len() * 8 {
+            let mut spoilt = whole.clone();
+            spoilt[bit / 8] ^= 1 << (bit % 8);
+            fs::write(&path, &spoilt).unwrap();
+            assert!(last(folder.path(), MARK).is_err(), "bit {bit}");
+        }
+        for length in 0..whole.len() {
+            fs::write(&path, &whole[..length]).unwrap();
+            assert!(last(folder.path(), MARK).is_err(), "{length} bytes");
+        }
+        // An earlier release sealed nothing.
+        fs::write(folder.path().join(WORKERS), b"[]").unwrap();
+        assert_eq!(last(folder.path(), WORKERS).unwrap().unwrap(), b"[]");
+    }
+
     #[test]
     fn the_newest_list_is_there_after_the_end() {
         let folder = tempfile::tempdir().unwrap();
--- a/crates/quartzdrift/src/settings/check.rs
+++ b/crates/quartzdrift/src/settings/check.rs
@@ -91,6 +91,7 @@
     let deferred = deferred(raw, &mut faults);
     let forecasts = forecasts(raw, &mut faults);
     let fleet = fleet(raw, &mut faults);
+    recovery(raw, &mut faults);
     if raw.record.as_ref().is_some_and(|record| record.file.is_empty() || record.bytes == 0) {
         faults.add(
             faults.table("record"),
@@ -150,6 +151,11 @@
             hash_names: record.hash_names,
         }),
         fleet,
+        recovery: super::Recovery {
+            ask: raw.recovery.ask.0,
+            longest: raw.recovery.longest.0,
+            fingerprints_on_disk: raw.recovery.fingerprints == super::raw::FingerprintsIn::Disk,
+        },
         share_port: raw.gateway.share_port,
     })
 }
@@ -168,6 +174,23 @@
     }
 }
 
+fn recovery(raw: &File, faults: &mut Faults) {
+    let told = &raw.recovery;
+    if told.ask.0.is_zero() || told.longest.0 < told.ask.0 {
+        let mend = "write ask over nothing, and longest no shorter than it";
+        faults.add(faults.table("recovery"), "others have no time to answer", mend);
+    }
+    let keeps = |w: &toml::Spanned<super::raw::Workload>| w.get_ref().effect == Effect::Fingerprinted;
+    if told.fingerprints == super::raw::FingerprintsIn::Disk && !raw.workloads.iter().any(keeps) {
+        let mend = "take fingerprints = \"disk\" out, or tell the workload whose effect is \"fingerprinted\"";
+        faults.add(
+            faults.table("recovery"),
+            "workers are said to keep fingerprints, and no workload has any",
+            mend,
+        );
+    }
+}
+
 fn fleet(raw: &File, faults: &mut Faults) -> Option<super::Fleet> {
     let told = raw.fleet.as_ref()?;
     let defaults = quartzdrift_members::Settings::default();
--- a/crates/quartzdrift/src/settings/mod.rs
+++ b/crates/quartzdrift/src/settings/mod.rs
@@ -98,6 +98,7 @@
     pub forecasts: Option<Forecasts>,
     pub record: Option<Record>,
     pub fleet: Option<Fleet>,
+    pub recovery: Recovery,
     /// Others may listen at the same addresses: a successor takes over before this one stops.
     pub share_port: bool,
 }
@@ -111,6 +112,14 @@
     pub silent: Duration,
 }
 
+/// How service returns after a start.
+#[derive(Clone, Debug)]
+pub struct Recovery {
+    pub ask: Duration,
+    pub longest: Duration,
+    pub fingerprints_on_disk: bool,
+}
+
 #[derive(Clone, Debug)]
 pub struct Forecasts {
     pub settings: quartzdrift_forecast::Settings,
--- a/crates/quartzdrift/src/settings/raw.rs
+++ b/crates/quartzdrift/src/settings/raw.rs
@@ -68,6 +68,40 @@
     pub forecasts: Option<Forecasts>,
     pub record: Option<Record>,
     pub fleet: Option<Fleet>,
+    #[serde(default)]
+    pub recovery: Recovery,
+}
+
+/// How service returns after a start; it takes `gateway.state`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Recovery {
+    /// How long other schedulers are asked at most what a start is.
+    pub ask: Span,
+    /// How long service may take to return in stages at most.
+    pub longest: Span,
+    /// Where workers keep the fingerprints of what they have run.
+    pub fingerprints: FingerprintsIn,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum FingerprintsIn {
+    /// Lost with their power.
+    #[default]
+    Memory,
+    /// Known again after it.
+    Disk,
+}
+
+impl Default for Recovery {
+    fn default() -> Recovery {
+        Recovery {
+            ask: Span(Duration::from_secs(2)),
+            longest: Span(Duration::from_secs(300)),
+            fingerprints: FingerprintsIn::Memory,
+        }
+    }
 }
 
 /// Membership of a fleet of schedulers.
