Recovery: loads are not paced at the door; directed tests of power loss and old stores

Each scheduler has to learn of all functions by itself, though others have loaded them long since.

Change: the pace is out; stages hold back deferred work, timers and loads ahead until synchronous work keeps its targets. Tests on processes: a fingerprinted job from before a power loss, an older copy of a store, another scheduler's store; the state machine's waits, order and numbers.

--- a/crates/quartzdrift-lab/src/emulate/fleet.rs
+++ b/crates/quartzdrift-lab/src/emulate/fleet.rs
@@ -1,6 +1,7 @@
 //! Schedulers as members of a fleet: the real membership, over a modelled network of datagrams.
 use super::{Ev, START, Sim};
 use quartzdrift_members::{Count, Members, Output, Settings, State};
+use quartzdrift_recovery::Kind;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,6 +38,8 @@
     killed: Vec<Killed>,
     restarted: Vec<(usize, Duration, Duration)>,
     false_dead: u64,
+    /// When power first went.
+    pub power_off: Option<Duration>,
     pub bytes: u64,
     told_least: Option<f64>,
     told_most: f64,
@@ -92,7 +95,7 @@
         self.fleet_changed(s);
     }
 
-    fn fleet_changed(&mut self, s: usize) {
+    pub(super) fn fleet_changed(&mut self, s: usize) {
         let now = self.now;
         let mut changed = false;
         loop {
@@ -151,7 +154,20 @@
                     Some(_) | None => {}
                 }
             }
-            Output::Changed(_) | Output::Refused { .. } | Output::NameTaken { .. } | Output::Told { .. } => {}
+            Output::Changed(m) => {
+                if let (State::Alive, Some(machine)) = (m.state, &mut self.schedulers[s].returning.machine) {
+                    machine.member(now, &m.name);
+                    self.return_says(s);
+                }
+            }
+            Output::Told { from, bytes, .. } => {
+                if let Some(machine) = &mut self.schedulers[s].returning.machine {
+                    // What is not understood is refused by a test of its own.
+                    let _ = machine.told(now, &from, &bytes);
+                    self.return_says(s);
+                }
+            }
+            Output::Refused { .. } | Output::NameTaken { .. } => {}
         }
     }
 
@@ -159,6 +175,7 @@
     pub(super) fn fleet_killed(&mut self, s: usize) {
         self.deaths.killed.push(Killed { scheduler: s, at: self.now, found: None });
         if let Some(fleet) = self.schedulers[s].fleet.take() {
+            self.return_killed(s, fleet.members.there().map(|m| m.name.to_string()).collect());
             let known = fleet.members.others().filter(|m| m.state != State::Left).map(|m| m.address);
             self.schedulers[s].met = (known.collect(), fleet.told);
         }
@@ -202,6 +219,12 @@
         self.figures.member_bytes_s = self.deaths.bytes as f64 / length / self.schedulers.len() as f64;
         self.figures.told_least = self.deaths.told_least.unwrap_or(0.0);
         self.figures.told_most = self.deaths.told_most;
+        let judged: Vec<_> = self.schedulers.iter().filter_map(|s| s.returning.judged).collect();
+        let lost = judged.iter().filter(|(_, kind)| *kind == Kind::LossOfMany).count();
+        self.figures.judged_lost = lost as f64 / self.schedulers.len() as f64;
+        let most = judged.iter().map(|(took, _)| *took).max().unwrap_or_default();
+        self.figures.judged_most_s = most.as_secs_f64();
+        self.figures.power_back_s = self.power_back().as_secs_f64();
         let restarts = std::mem::take(&mut self.deaths.restarted);
         let times = restarts.iter().map(|(s, killed, at)| self.recovered(*s, *killed, *at).as_secs_f64());
         self.figures.recovered_s = mean(times.collect());
@@ -209,23 +232,43 @@
             self.workers.iter().map(|w| w.model.cold_most).fold(self.cold_most, f64::max);
     }
 
-    /// How long after its restart calls to a scheduler were in time as often as before it was killed.
-    fn recovered(&self, s: usize, killed: Duration, at: Duration) -> Duration {
+    /// Of the calls of this time, to one scheduler or to all, the share that was finished in time; `None`: there were none.
+    fn share(&self, s: Option<usize>, from: Duration, to: Duration) -> Option<f64> {
         let gateways = self.schedulers.len();
-        let share = |from: Duration, to: Duration| {
-            let first = self.arrivals.partition_point(|a| START + crate::traffic::at(a) < from);
-            let of = self.arrivals[first..]
-                .iter()
-                .enumerate()
-                .take_while(|(_, a)| START + crate::traffic::at(a) < to);
-            let own = of.filter(|(_, a)| a.gateway_of(gateways) == s);
-            let (mut all, mut good) = (0u32, 0u32);
-            for (n, _) in own {
-                all += 1;
-                good += u32::from(self.in_time.contains(&(first + n)));
+        let first = self.arrivals.partition_point(|a| START + crate::traffic::at(a) < from);
+        let of =
+            self.arrivals[first..].iter().enumerate().take_while(|(_, a)| START + crate::traffic::at(a) < to);
+        let own = of.filter(|(_, a)| s.is_none_or(|s| a.gateway_of(gateways) == s));
+        let (mut all, mut good) = (0u32, 0u32);
+        for (n, _) in own {
+            all += 1;
+            good += u32::from(self.in_time.contains(&(first + n)));
+        }
+        (all > 0).then(|| f64::from(good) / f64::from(all))
+    }
+
+    /// From the first start after the last loss of power until calls to all were in time as often as before it, for good.
+    fn power_back(&self) -> Duration {
+        let Some(off) = self.deaths.power_off else { return Duration::ZERO };
+        let restarts = &self.deaths.restarted;
+        let last = restarts.iter().map(|(_, killed, _)| *killed).max().unwrap_or(off);
+        let back = restarts.iter().filter(|(_, killed, _)| *killed == last).map(|(.., at)| *at).min();
+        let Some(back) = back else { return LOOK_FOR };
+        let before = self.share(None, off.saturating_sub(BEFORE), off).unwrap_or(1.0);
+        let end = (START + self.script.length).saturating_sub(WINDOW);
+        let (mut from, mut since) = (back, back);
+        while from < end {
+            if self.share(None, from, from + WINDOW).is_some_and(|share| share < before * RECOVERED) {
+                since = from + STEP;
             }
-            (all > 0).then(|| f64::from(good) / f64::from(all))
-        };
+            from += STEP;
+        }
+        since - back
+    }
+
+    /// How long after its restart calls to a scheduler were in time as often as before it was killed.
+    fn recovered(&self, s: usize, killed: Duration, at: Duration) -> Duration {
+        let share = |from: Duration, to: Duration| self.share(Some(s), from, to);
         let before = share(killed.saturating_sub(BEFORE), killed).unwrap_or(1.0);
         let mut from = at;
         while from < at + LOOK_FOR {
--- a/crates/quartzdrift-lab/src/emulate/mod.rs
+++ b/crates/quartzdrift-lab/src/emulate/mod.rs
@@ -4,6 +4,7 @@
 //! Modelled, not measured: each message takes 0.2 to 0.6 ms, schedulers take no time to decide, and a connection to a worker
 //! that is down is refused at once. Everything else is the code that runs on sockets, or the stand-ins' models.
 mod fleet;
+mod returning;
 
 use crate::badday;
 use crate::model::{Found, Machine, Say, Worker};
@@ -60,6 +61,8 @@
     pub snapshot_s: f64,
     /// Schedulers know of each other by the real membership.
     pub members: bool,
+    /// Schedulers return to service in stages after they were killed; it takes `members`.
+    pub recovery: bool,
     /// Schedulers as the settings tell them; 0: as many as there are.
     pub schedulers: u32,
 }
@@ -99,6 +102,13 @@
     pub cold_most: f64,
     /// Seconds from a scheduler's restart until calls to it were in time as often as before it was killed, or nearly.
     pub recovered_s: f64,
+    /// Seconds from the return of power, the first gateway or worker, until all calls were in time as often as before, or nearly,
+    /// and stayed so; and calls pushed back from then on.
+    pub power_back_s: f64,
+    pub power_pushed_back: u64,
+    /// Of the schedulers' last starts after a loss of power, the share judged as such, and the longest time until one was judged.
+    pub judged_lost: f64,
+    pub judged_most_s: f64,
     /// Seconds from a kill until the first and the last of the others knew, and schedulers thought dead that were there.
     pub found_first_s: f64,
     pub found_last_s: f64,
@@ -213,6 +223,7 @@
     met: (Vec<std::net::SocketAddr>, u32),
     /// It does nothing until then.
     paused: Duration,
+    returning: returning::Returning,
 }
 
 struct Sim<'a> {
@@ -384,6 +395,7 @@
                 fleet: None,
                 met: Default::default(),
                 paused: Duration::ZERO,
+                returning: returning::Returning::default(),
             };
             self.schedulers.push(scheduler);
             self.start_scheduler(s, seed);
@@ -454,6 +466,7 @@
         let scheduler = &mut self.schedulers[s];
         (scheduler.desk, scheduler.ahead, scheduler.life, scheduler.planned) =
             (Some(desk), ahead, life, None);
+        self.begin_return(s);
         self.outputs(s);
         self.join(s);
     }
@@ -677,6 +690,7 @@
             }
             FinalAnswer::PushedBack { come_back, .. } => {
                 self.figures.pushed_back += 1;
+                self.figures.power_pushed_back += u64::from(self.deaths.power_off.is_some());
                 let told = come_back.unwrap_or(Duration::from_millis(100));
                 let wait = told.mul_f64(self.chance.random_range(1.0..2.0));
                 self.again(client, wait);
@@ -693,6 +707,8 @@
             return;
         }
         self.schedulers[s].planned = None;
+        self.return_due(s);
+        self.fleet_changed(s);
         let (now, scheduler) = (self.now, &mut self.schedulers[s]);
         if let Some(desk) = &mut scheduler.desk {
             desk.due(now);
@@ -743,7 +759,8 @@
         let scheduler = &self.schedulers[s];
         let Some(desk) = &scheduler.desk else { return };
         let ahead = scheduler.ahead.as_ref().and_then(Ahead::next_due);
-        let Some(next) = [desk.next_due(), ahead].into_iter().flatten().min() else { return };
+        let returns = scheduler.returning.machine.as_ref().and_then(quartzdrift_recovery::Recovery::next_due);
+        let Some(next) = [desk.next_due(), ahead, returns].into_iter().flatten().min() else { return };
         if scheduler.planned.is_none_or(|at| next < at) {
             let life = scheduler.life;
             self.schedulers[s].planned = Some(next);
@@ -1058,6 +1075,7 @@
             Trouble::Together => self.apart = None,
             Trouble::LoseDatagrams(share) => self.loss = share,
             Trouble::PowerOff { gateways } => {
+                self.deaths.power_off.get_or_insert(self.now);
                 let (first, last) = gateways.unwrap_or((0, self.schedulers.len().saturating_sub(1)));
                 (first..=last).for_each(|s| self.trouble(&Trouble::KillGateway(s), machine, seed));
                 if gateways.is_none() {
--- /dev/null
+++ b/crates/quartzdrift-lab/src/emulate/returning.rs
@@ -0,0 +1,94 @@
+//! How schedulers return to service after they were killed: the real state machine, told what the emulator's members say.
+//! Nothing is on disk here but what a scheduler noted when it was killed, and clocks are true.
+use super::{START, Sim};
+use quartzdrift_recovery::{Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings};
+use std::time::Duration;
+
+/// As the daemon's settings have it where nothing is told.
+const ASK: Duration = Duration::from_secs(2);
+const LONGEST: Duration = Duration::from_secs(300);
+
+/// What the emulator keeps of a scheduler that returns.
+#[derive(Default)]
+pub(super) struct Returning {
+    pub machine: Option<Recovery>,
+    /// What it noted, and which members it counted then.
+    noted: Option<(Mark, Vec<String>)>,
+    /// How long it took to judge its last start after a kill, and what for.
+    pub judged: Option<(Duration, Kind)>,
+    since: Duration,
+    starts: u32,
+}
+
+impl Sim<'_> {
+    /// All machines run on the same clock, and one that was killed has started anew.
+    fn moment(&self, s: usize) -> Moment {
+        let boot = format!("{s}-{}", self.schedulers[s].returning.starts);
+        Moment { wall: self.now, boot, since_boot: Duration::from_millis(1) }
+    }
+
+    pub(super) fn begin_return(&mut self, s: usize) {
+        if !self.variant.recovery {
+            return;
+        }
+        self.schedulers[s].returning.starts += 1;
+        (self.schedulers[s].returning.since, self.schedulers[s].returning.judged) = (self.now, None);
+        let (now, moment) = (self.now, self.moment(s));
+        let name = format!("s{s}");
+        let found = match self.schedulers[s].returning.noted.take() {
+            Some((mark, known)) => Found::marked(mark, &name, known, moment),
+            None => Found { mark: None, disk: Disk::Empty, known: Vec::new(), now: moment },
+        };
+        let settings = Settings {
+            name,
+            fleet: self.variant.members && now > START,
+            ask: ASK,
+            longest: LONGEST,
+            fingerprints_on_disk: false,
+            load_window: Duration::from_secs_f64(self.variant.load_window_s.max(0.0)),
+            out: 64,
+            store: None,
+            life: self.drawn,
+        };
+        self.schedulers[s].returning.machine = Some(Recovery::new(settings, found, now));
+    }
+
+    /// What a scheduler noted last is there at its next start.
+    pub(super) fn return_killed(&mut self, s: usize, known: Vec<String>) {
+        let moment = self.moment(s);
+        let returning = &mut self.schedulers[s].returning;
+        if let Some(machine) = returning.machine.take() {
+            returning.noted = Some((machine.mark(moment), known));
+        }
+    }
+
+    pub(super) fn return_due(&mut self, s: usize) {
+        let now = self.now;
+        if let Some(machine) = &mut self.schedulers[s].returning.machine {
+            if machine.next_due().is_some_and(|at| at <= now) {
+                machine.due(now);
+            }
+            // Deferred jobs are not modelled: there is no backlog.
+            machine.backlog_through(now);
+        }
+        self.return_says(s);
+    }
+
+    /// Sends what the machine asks and answers; the rest is its own.
+    pub(super) fn return_says(&mut self, s: usize) {
+        let scheduler = &mut self.schedulers[s];
+        let Some(machine) = &mut scheduler.returning.machine else { return };
+        let outputs = machine.outputs();
+        for output in outputs {
+            match (output, &mut scheduler.fleet) {
+                (Output::Tell { to, bytes }, Some(fleet)) => {
+                    fleet.members.tell(&to, quartzdrift_recovery::RECOVERY, bytes);
+                }
+                (Output::Judged(verdict), _) => {
+                    scheduler.returning.judged = Some((self.now - scheduler.returning.since, verdict.kind));
+                }
+                (Output::Tell { .. } | Output::Stage(_), _) => {}
+            }
+        }
+    }
+}
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -134,6 +134,9 @@
         /// Schedulers know of each other by the membership
         #[arg(long)]
         members: bool,
+        /// They return to service in stages after a loss of power
+        #[arg(long, requires = "members")]
+        recovery: bool,
         /// Use this trace in place of the script's own traffic
         #[arg(long)]
         trace: Option<PathBuf>,
@@ -240,9 +243,9 @@
                 load::run(plan).map(|report| println!("{report}"))
             })
         }
-        Command::Emulate { script, seed, forecasts, members, trace, write_trace } => {
+        Command::Emulate { script, seed, forecasts, members, recovery, trace, write_trace } => {
             let forecasting = if forecasts { emulate::Forecasting::On } else { emulate::Forecasting::Off };
-            let variant = emulate::Variant { forecasting, members, ..Default::default() };
+            let variant = emulate::Variant { forecasting, members, recovery, ..Default::default() };
             emulated(script.as_deref(), seed, &variant, trace.as_deref(), write_trace.as_deref())
         }
         Command::Replay { day, gateways, workers, length, seed, emulator } => {
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -36,9 +36,15 @@
 
 impl Gateway {
     fn start(file: &Path) -> Gateway {
+        Gateway::start_on(file, &[])
+    }
+
+    /// On a machine whose clock, or whose run since it was started, is told by the lab's options.
+    fn start_on(file: &Path, options: &[&str]) -> Gateway {
         let mut child = Process::new(LAB)
             .arg("gateway")
             .arg(file)
+            .args(options)
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
@@ -756,3 +762,107 @@
     let _gateway = stage.gateway_with("", &more);
     stage.wait("the kept job", |_| (stage.came("kept") > before).then_some(()));
 }
+
+/// A gateway alone, with its state and its deferred jobs on disk.
+fn alone(stage: &Stage) -> (String, String) {
+    let folder = stage.folder.path();
+    let more = format!(
+        "[[workloads]]\nname = \"known\"\neffect = \"fingerprinted\"\ngroup = \"all\"\nwindow = \"3s\"\ntime_limit = \"2s\"\n\
+         [[functions]]\nname = \"stamp\"\nworkload = \"known\"\n\
+         [deferred]\nstore = \"{}\"\nwait = \"20ms\"\non_failure = {{ function = \"dead\" }}\n",
+        folder.join("deferred").display()
+    );
+    (format!("state = \"{}\"", folder.join("state").display()), more)
+}
+
+fn marked(gateway: &Gateway, mark: &str) -> Response {
+    let payload = format!("{{\"key\":\"{mark}\"}}").into_bytes();
+    let (function, mark) = ("stamp".to_owned(), Some(mark.to_owned()));
+    let timeout = Duration::from_secs(15);
+    invoke(&Invoke { to: gateway.at, function, payload, deferred: false, mark, timeout }).unwrap()
+}
+
+#[test]
+fn a_fingerprinted_job_from_before_a_power_loss_does_not_run_after_it() {
+    let stage = Stage::new(2);
+    let (gateway, more) = alone(&stage);
+    let first = stage.gateway_with(&gateway, &more);
+    let file = stage.folder.path().join("gateway.toml");
+    assert_eq!(marked(&first, "once").status, 200);
+    // A deferred one is out, at a worker that does not answer.
+    stage.all(&Faults { hang: true, ..Faults::default() });
+    assert_eq!(first.call("stamp", r#"{"key": "out"}"#, true).status, 202);
+    stage.wait("the deferred job at a worker", |seen| came(seen, "out"));
+    drop(first);
+    stage.all(&Faults::default());
+    // The process alone was gone: workers know what they ran, and both go on at once.
+    let second = stage.gateway_by("gateway.toml", &gateway, &more);
+    assert_eq!(marked(&second, "once").status, 200);
+    stage.wait("the deferred job again", |_| (stage.came("out") == 2).then_some(()));
+    stage.all(&Faults { hang: true, ..Faults::default() });
+    assert_eq!(second.call("stamp", r#"{"key": "lost"}"#, true).status, 202);
+    stage.wait("the second one at a worker", |seen| came(seen, "lost"));
+    drop(second);
+    stage.all(&Faults::default());
+    // The machine was off, and workers with it as far as can be told, however its clock was set meanwhile.
+    let third = Gateway::start_on(&file, &["--boot", "anew", "--behind", "1h"]);
+    let answer = marked(&third, "once");
+    assert_eq!(answer.status, 429);
+    let wait = answer.headers.get("x-quartzdrift-come-back-ms").unwrap().parse::<u64>().unwrap();
+    assert!((1..=3000).contains(&wait), "{wait}");
+    stage.wait("the record of the one in doubt", |_| (stage.came("dead:lost") > 0).then_some(()));
+    std::thread::sleep(Duration::from_millis(wait));
+    assert_eq!((marked(&third, "new").status, stage.came("lost")), (200, 1));
+    drop(third);
+    // Where workers are said to keep fingerprints on disk, they know the repeat.
+    let text = std::fs::read_to_string(&file).unwrap();
+    std::fs::write(&file, format!("{text}\n[recovery]\nfingerprints = \"disk\"\n")).unwrap();
+    assert_eq!(marked(&Gateway::start_on(&file, &["--boot", "again"]), "new").status, 200);
+}
+
+#[test]
+fn an_older_copy_of_a_store_runs_nothing_twice_and_another_ones_store_is_refused() {
+    let stage = Stage::new(1);
+    let (gateway, more) = alone(&stage);
+    let (store, copy) = (stage.folder.path().join("deferred"), stage.folder.path().join("copy"));
+    let copied = |from: &Path, to: &Path| {
+        let _ = std::fs::remove_dir_all(to);
+        std::fs::create_dir_all(to).unwrap();
+        for entry in std::fs::read_dir(from).unwrap() {
+            let entry = entry.unwrap();
+            std::fs::copy(entry.path(), to.join(entry.file_name())).unwrap();
+        }
+    };
+    // Nothing is taken by the only worker: the job waits, and is copied as it waits.
+    stage.all(&Faults { errors: 1.0, ..Faults::default() });
+    stage.workers[0].tell(Command::Crash);
+    let first = stage.gateway_with(&gateway, &more);
+    for key in ["pay", "echo"] {
+        assert_eq!(first.call(key, &format!("{{\"key\": \"{key}\"}}"), true).status, 202);
+    }
+    drop(first);
+    copied(&store, &copy);
+    stage.all(&Faults::default());
+    stage.workers[0].tell(Command::Start);
+    let second = stage.gateway_with(&gateway, &more);
+    stage.wait("both", |_| (stage.came("pay") == 1 && stage.came("echo") == 1).then_some(()));
+    drop(second);
+    copied(&copy, &store);
+    let third = stage.gateway_with(&gateway, &more);
+    stage.wait("the record of the one in doubt", |_| (stage.came("dead:pay") > 0).then_some(()));
+    stage.wait("the one that may run again", |_| (stage.came("echo") == 2).then_some(()));
+    assert_eq!(stage.came("pay"), 1);
+    drop(third);
+    // The same store under another scheduler's name.
+    let folder = stage.folder.path();
+    std::fs::write(folder.join("key"), "00112233445566778899aabbccddeeff").unwrap();
+    let fleet = format!(
+        "{more}\n[fleet]\nname = \"other\"\ncluster = \"test\"\nlisten = \"127.0.0.1:0\"\nkeys = [\"{}\"]\n",
+        folder.join("key").display()
+    );
+    let text = std::fs::read_to_string(folder.join("gateway.toml")).unwrap().replace(&more, &fleet);
+    std::fs::write(folder.join("gateway.toml"), text).unwrap();
+    let refused = Process::new(LAB).arg("gateway").arg(folder.join("gateway.toml")).output().unwrap();
+    let said = String::from_utf8_lossy(&refused.stderr).into_owned();
+    assert!(!refused.status.success() && said.contains("store of the scheduler ''"), "{said}");
+}
--- a/crates/quartzdrift-recovery/src/lib.rs
+++ b/crates/quartzdrift-recovery/src/lib.rs
@@ -9,17 +9,17 @@
 //! * `topics`: what members ask and answer, and its bounds.
 //! * `start`: kinds of start, by evidence.
 //! * `trust`: what of each thing kept is believed; the table of docs/design-recovery.md.
-//! * `pace`: how many loads and deferred jobs are let in.
+//! * `backlog`: how many deferred jobs are let in.
 //! * `recovery`: the state machine.
+mod backlog;
 mod moment;
-mod pace;
 mod recovery;
 mod start;
 mod topics;
 mod trust;
 
+pub use backlog::Backlog;
 pub use moment::{Age, Moment};
-pub use pace::{Backlog, Loads};
 pub use recovery::{Output, Recovery, Settings, Stage, View};
 pub use start::{Disk, Found, Kind, Mark, Verdict};
 pub use topics::{About, RECOVERY, Said, Unread};
--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -1,5 +1,5 @@
 //! The state machine from a start to full service.
-use crate::pace::{Backlog, Loads};
+use crate::backlog::Backlog;
 use crate::start::{Disk, Found, Heard, Kind, Mark, Verdict, judge};
 use crate::topics::{About, Said, Unread};
 use crate::trust::{Belief, Thing, beliefs, repeats_known, waiting_in_doubt};
@@ -14,10 +14,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// Others of whom starts are remembered at most.
 const SEEN_MOST: usize = 4096;
-/// A stage has done its work once this long nobody was put off, or nearly nobody.
-const CALM: Duration = Duration::from_secs(2);
-/// Of those who came, the share that may be put off in a calm stage.
-const CALM_SHARE: f64 = 0.02;
+/// Missed timers have their jobs taken before anything is loaded ahead.
+const TIMERS_FIRST: Duration = Duration::from_secs(1);
 /// Told to whom comes while others are still asked.
 const COME_BACK: Duration = Duration::from_millis(250);
 
@@ -26,7 +24,7 @@
 pub enum Stage {
     /// Others are asked what this start is. What may have run is not run again meanwhile.
     Asking,
-    /// Synchronous work, and loads by pace.
+    /// Synchronous work alone, until it keeps its start targets.
     Synchronous,
     /// The deferred backlog too, by what synchronous work leaves.
     Backlog,
@@ -64,12 +62,10 @@
     pub load_window: Duration,
     /// Deferred jobs out at a time, as the settings tell.
     pub out: usize,
-    pub schedulers: u32,
     /// The start that last opened the store of deferred jobs, as noted there.
     pub store: Option<u64>,
     /// Drawn at this start.
     pub life: u64,
-    pub seed: u64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -94,8 +90,6 @@
     pub verdict: Option<Verdict>,
     pub beliefs: Vec<(Thing, Belief, String)>,
     pub waits_for: Vec<String>,
-    /// Loads that may be out at a time, while they are paced.
-    pub loads: Option<f64>,
     /// Deferred jobs that may be out at a time, while they are.
     pub backlog: Option<usize>,
 }
@@ -117,9 +111,6 @@
         if !self.waits_for.is_empty() {
             text.push_str(&format!("waits for answers of {}\n", self.waits_for.join(", ")));
         }
-        if let Some(loads) = self.loads {
-            text.push_str(&format!("loads that may be out at a time: {loads:.2}\n"));
-        }
         if let Some(backlog) = self.backlog {
             text.push_str(&format!("deferred jobs that may be out at a time: {backlog}\n"));
         }
@@ -148,13 +139,11 @@
     verdict: Option<Verdict>,
     stage: Stage,
     since: Duration,
-    /// Since when nearly nobody was put off, and when that was looked at.
-    calm: Duration,
+    /// When the stage is next looked at.
     look_at: Duration,
     back_at: Option<Duration>,
     /// No load ahead before: another life's ration may be spent.
     ration_until: Duration,
-    pub loads: Loads,
     backlog: Backlog,
     stopped: bool,
     outputs: Vec<Output>,
@@ -174,7 +163,6 @@
             Some(_) | None => settings.load_window,
         };
         let mut recovery = Recovery {
-            loads: Loads::new(settings.schedulers, settings.seed),
             backlog: Backlog::new(now, settings.out),
             begun: now,
             starts: mark.starts.max(settings.store.unwrap_or(0)) + 1,
@@ -185,7 +173,6 @@
             verdict: None,
             stage: Stage::Asking,
             since: now,
-            calm: now,
             look_at: now,
             // Of the future it cannot be: the clock could not be told then.
             back_at: mark.back_at.map(|at| at.min(now)),
@@ -338,10 +325,12 @@
     // --- Stages ---
 
     fn enter(&mut self, now: Duration, stage: Stage) {
-        (self.stage, self.since, self.calm) = (stage, now, now);
-        self.look_at = now + CALM / 2;
-        if stage == Stage::Backlog {
-            self.backlog = Backlog::new(now, self.settings.out);
+        (self.stage, self.since) = (stage, now);
+        self.look_at = now + TIMERS_FIRST;
+        match stage {
+            Stage::Synchronous => self.backlog = Backlog::new(now, self.settings.out),
+            Stage::Backlog => self.backlog.begin(),
+            Stage::Asking | Stage::Timers | Stage::Full => {}
         }
         self.outputs.push(Output::Stage(stage));
     }
@@ -357,8 +346,8 @@
                 let early = Some(self.begun + self.settings.ask / 2).filter(|at| *at > self.look_at);
                 again.chain(early).chain([self.begun + self.settings.ask]).min()
             }
-            Stage::Synchronous | Stage::Timers => Some(self.look_at),
-            Stage::Backlog => Some(self.backlog.next_due()),
+            Stage::Synchronous | Stage::Backlog => Some(self.backlog.next_due()),
+            Stage::Timers => Some(self.look_at),
             Stage::Full => None,
         }
     }
@@ -372,13 +361,9 @@
                 names.iter().for_each(|name| self.ask(now, name));
                 self.judge_if_told(now);
             }
-            Stage::Synchronous if now >= self.look_at => {
-                self.look_at = now + CALM / 4;
-                let (put_off, let_in) = self.loads.look();
-                if put_off as f64 > CALM_SHARE * (put_off + let_in) as f64 {
-                    self.calm = now;
-                }
-                if over || now >= self.calm + CALM {
+            Stage::Synchronous => {
+                self.backlog.due(now);
+                if over || self.backlog.calm() {
                     self.enter(now, Stage::Backlog);
                 }
             }
@@ -390,7 +375,7 @@
                 }
             }
             Stage::Timers if now >= self.look_at => self.enter(now, Stage::Full),
-            Stage::Synchronous | Stage::Timers | Stage::Full => {}
+            Stage::Timers | Stage::Full => {}
         }
     }
 
@@ -426,17 +411,9 @@
             .is_some_and(|verdict| repeats_known(verdict, self.settings.fingerprints_on_disk))
     }
 
-    /// Whether a synchronous job may go on, by its function and worth; else when to come back.
-    pub fn admit(&mut self, now: Duration, function: &str, worth: f64) -> Result<(), Duration> {
-        match self.stage {
-            Stage::Synchronous | Stage::Backlog => self.loads.ask(now, function, worth),
-            Stage::Asking | Stage::Timers | Stage::Full => Ok(()),
-        }
-    }
-
     /// A synchronous job had its final answer, in its time or not.
     pub fn answered(&mut self, kept: bool) {
-        if self.stage == Stage::Backlog {
+        if matches!(self.stage, Stage::Synchronous | Stage::Backlog) {
             self.backlog.answered(kept);
         }
     }
@@ -481,7 +458,6 @@
             .as_ref()
             .map(|verdict| beliefs(verdict, self.settings.fingerprints_on_disk, self.settings.store));
         let silent = |(name, asked): (&String, &Asked)| asked.heard.is_none().then(|| name.clone());
-        let paced = matches!(self.stage, Stage::Synchronous | Stage::Backlog);
         View {
             starts: self.starts,
             stage: self.stage,
@@ -498,8 +474,160 @@
             } else {
                 Vec::new()
             },
-            loads: paced.then(|| self.loads.window()),
             backlog: (self.stage == Stage::Backlog).then(|| self.backlog.out()),
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Moment;
+
+    const S: Duration = Duration::from_secs(1);
+    const ZERO: Duration = Duration::from_secs(1_000_000);
+
+    fn settings(name: &str) -> Settings {
+        Settings {
+            name: name.to_owned(),
+            fleet: true,
+            ask: S * 2,
+            longest: S * 60,
+            fingerprints_on_disk: false,
+            load_window: S * 10,
+            out: 8,
+            store: None,
+            life: 7,
+        }
+    }
+
+    /// One that ended uncleanly three seconds ago, and counted these others.
+    fn lost(name: &str, known: &[&str]) -> Recovery {
+        let at = Moment { wall: ZERO - S * 3, boot: "a".into(), since_boot: S * 500 };
+        let mark = Mark { name: name.into(), starts: 4, settled: true, at, ..Mark::default() };
+        let now = Moment { wall: ZERO, boot: "b".into(), since_boot: S };
+        let known = known.iter().map(|&name| name.to_owned()).collect();
+        Recovery::new(settings(name), Found::marked(mark, name, known, now), ZERO)
+    }
+
+    fn answer(up: Duration, was_clean: bool) -> Vec<u8> {
+        let me = About { starts: 9, life: 1, up_ms: up.as_millis() as u64, was_clean, full: false };
+        Said::Answer { me, yours: 4 }.bytes()
+    }
+
+    fn stages(of: &mut Recovery) -> Vec<Stage> {
+        let stage = |output| match output {
+            Output::Stage(stage) => Some(stage),
+            Output::Tell { .. } | Output::Judged(_) => None,
+        };
+        of.outputs().into_iter().filter_map(stage).collect()
+    }
+
+    #[test]
+    fn every_wait_ends_whoever_answers() {
+        for answers in 0..=2 {
+            let mut of = lost("a", &["b", "c"]);
+            let mut now = ZERO;
+            for name in &["b", "c"][..answers] {
+                of.member(now, name);
+                of.told(now, name, &answer(S, false)).unwrap();
+            }
+            assert_eq!(of.verdict().is_some(), answers == 2, "{answers}");
+            while of.verdict().is_none() {
+                now = of.next_due().unwrap().max(now);
+                of.due(now);
+            }
+            assert!(now <= ZERO + S * 2 && of.verdict().unwrap().kind == Kind::LossOfMany, "{answers}");
+        }
+    }
+
+    #[test]
+    fn one_that_does_not_answer_is_asked_again_until_it_is_time() {
+        let mut of = lost("a", &["b"]);
+        let (mut now, mut asks) = (ZERO, 0);
+        of.member(now, "b");
+        while of.verdict().is_none() {
+            asks += of.outputs().iter().filter(|output| matches!(output, Output::Tell { .. })).count();
+            now = of.next_due().unwrap().max(now);
+            of.due(now);
+        }
+        assert!((6..=9).contains(&asks), "{asks}");
+        // Members that come later are not asked any more, and what they say late changes nothing.
+        of.outputs();
+        of.member(now, "c");
+        of.told(now, "b", &answer(S * 900, true)).unwrap();
+        assert_eq!(of.verdict().unwrap().kind, Kind::LossOfMany);
+        assert!(!of.outputs().iter().any(|output| matches!(output, Output::Tell { .. })));
+    }
+
+    #[test]
+    fn service_returns_in_its_order_and_what_may_repeat_stays_away_for_its_window() {
+        let mut of = lost("a", &[]);
+        assert_eq!((of.repeats_wait(ZERO, S * 5), of.backlog()), (Some(COME_BACK), Some(0)));
+        let mut now = ZERO;
+        let mut seen = Vec::new();
+        while of.stage() != Stage::Full {
+            now = of.next_due().unwrap().max(now);
+            let well = now > ZERO + S * 6;
+            (0..20).for_each(|_| of.answered(well));
+            assert_eq!(of.timers(), of.stage() >= Stage::Timers);
+            assert!(!of.loads_ahead(now));
+            of.due(now);
+            seen.extend(stages(&mut of));
+        }
+        assert_eq!(seen, [Stage::Synchronous, Stage::Backlog, Stage::Timers, Stage::Full]);
+        assert!(now > ZERO + S * 8, "synchronous work was not well before: {now:?}");
+        assert_eq!(of.backlog(), None);
+        assert!(!of.repeats_known());
+        assert_eq!(of.repeats_wait(ZERO + S * 3, S * 5), Some(S * 2));
+        assert_eq!(
+            (of.repeats_wait(ZERO + S * 5, S * 5), of.repeats_wait(ZERO + S * 3, S * 3)),
+            (None, None)
+        );
+        // The next life of one that crashes within that window keeps to it.
+        let at = Moment { wall: ZERO + S * 2, boot: "b".into(), since_boot: S * 3 };
+        let again = Found::marked(of.mark(at.clone()), "a", vec![], Moment { since_boot: S * 4, ..at });
+        let again = Recovery::new(Settings { fleet: false, ..settings("a") }, again, ZERO + S * 3);
+        assert_eq!((again.verdict().unwrap().kind, again.stage()), (Kind::CrashOfOne, Stage::Full));
+        assert_eq!(again.repeats_wait(ZERO + S * 3, S * 5), Some(S * 2));
+        assert!(
+            !again.loads_ahead(ZERO + S * 12) && again.loads_ahead(ZERO + S * 13),
+            "the last life's ration"
+        );
+    }
+
+    #[test]
+    fn stages_end_by_themselves_or_by_an_operators_word() {
+        let mut of = lost("a", &[]);
+        let mut now = ZERO;
+        while of.stage() < Stage::Timers {
+            now = of.next_due().unwrap().max(now);
+            (0..20).for_each(|_| of.answered(false));
+            of.due(now);
+        }
+        assert!(now <= ZERO + S * 62, "{now:?}");
+        let mut forced = lost("a", &["b"]);
+        forced.force(ZERO);
+        assert_eq!((forced.stage(), forced.repeats_known()), (Stage::Full, false));
+    }
+
+    #[test]
+    fn a_number_used_twice_is_told_by_its_life() {
+        let mut other = lost("o", &[]);
+        let yours = |other: &mut Recovery, starts, life| {
+            let me = About { starts, life, up_ms: 0, was_clean: false, full: false };
+            other.told(ZERO, "x", &Said::Ask { me }.bytes()).unwrap();
+            other.outputs().into_iter().find_map(|output| match output {
+                Output::Tell { bytes, .. } => match Said::read(&bytes) {
+                    Ok(Said::Answer { yours, .. }) => Some(yours),
+                    Ok(Said::Ask { .. }) | Err(_) => None,
+                },
+                Output::Judged(_) | Output::Stage(_) => None,
+            })
+        };
+        assert_eq!(yours(&mut other, 3, 30), Some(0));
+        assert_eq!(yours(&mut other, 3, 30), Some(0), "it asked again");
+        assert_eq!(yours(&mut other, 4, 40), Some(3));
+        assert_eq!(yours(&mut other, 4, 41), Some(4), "a copy from before");
+    }
+}
--- a/crates/quartzdrift-recovery/src/trust.rs
+++ b/crates/quartzdrift-recovery/src/trust.rs
@@ -67,3 +67,32 @@
         row(Thing::Timers, kept, "firings missed since the last note are treated by each timer's setting"),
     ]
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_power_took_is_not_believed_and_an_older_store_is_doubted() {
+        for kind in [Kind::First, Kind::Planned, Kind::CrashOfOne, Kind::LossOfMany] {
+            let (answered, lost, silent, others_full) = (0, 0, 0, false);
+            let verdict = Verdict { kind, disk: Disk::Whole, answered, lost, silent, others_full, latest: 4 };
+            let many = kind == Kind::LossOfMany;
+            assert_eq!((repeats_known(&verdict, false), repeats_known(&verdict, true)), (!many, true));
+            for (store, doubted) in [(None, false), (Some(3), true), (Some(4), false), (Some(5), false)] {
+                assert_eq!(waiting_in_doubt(&verdict, store), doubted);
+                let rows = beliefs(&verdict, false, store);
+                let belief = |of| rows.iter().find(|(thing, ..)| *thing == of).map(|(_, belief, _)| *belief);
+                assert_eq!(belief(Thing::Workers), Some(if many { Belief::Lessened } else { Belief::Kept }));
+                assert_eq!(
+                    belief(Thing::Fingerprints),
+                    Some(if many { Belief::Aside } else { Belief::Kept })
+                );
+                assert_eq!(
+                    belief(Thing::Waiting),
+                    Some(if doubted { Belief::Lessened } else { Belief::Kept })
+                );
+            }
+        }
+    }
+}
--- a/crates/quartzdrift/src/gateway/clients.rs
+++ b/crates/quartzdrift/src/gateway/clients.rs
@@ -85,7 +85,7 @@
         let limit = workload.time_limit.unwrap_or(Duration::MAX);
         let left = call.left_ms.map_or(limit, |ms| limit.min(Duration::from_millis(ms)));
         let is_retry = head.headers.get("x-quartzdrift-retry").is_some();
-        let let_in = self.let_in(&name, function.workload, call.mark.is_some(), is_retry);
+        let let_in = self.let_in(function.workload, call.mark.is_some(), is_retry);
         let_in.map_err(|wait| Problem::Busy(Some(wait)))?;
         let workload = &self.settings.choice.workloads[function.workload as usize];
         // A fingerprinted job that came without a mark is marked by its own identity, for further executions.
@@ -98,7 +98,6 @@
             mark,
             customer: customer.1,
             streams: workload.streams,
-            function: Rc::from(name.as_str()),
             workload: function.workload,
             taken: self.now(),
         };
--- a/crates/quartzdrift/src/gateway/fronts.rs
+++ b/crates/quartzdrift/src/gateway/fronts.rs
@@ -110,7 +110,6 @@
             mark: job.mark,
             customer: self.settings.choice.customers.get(job.customer as usize).map(|c| c.name.clone()),
             streams: false,
-            function: Rc::from(job.function.as_str()),
             workload: function.workload,
             taken: self.now(),
         };
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -52,7 +52,6 @@
     pub mark: Option<String>,
     pub customer: Option<String>,
     pub streams: bool,
-    pub function: Rc<str>,
     pub workload: u32,
     pub taken: Duration,
 }
@@ -64,7 +63,6 @@
         execution: u32,
         work: Rc<Work>,
         worker: Rc<str>,
-        sent: Duration,
         began: bool,
     },
     Probe {
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -3,7 +3,7 @@
 use super::{Gateway, Origin, Work};
 use crate::saved::{self, ASIDE, FORCE, MARK, MEMBERS, STAGES, WORKERS};
 use crate::settings::Settings;
-use quartzdrift_choice::interface::{Effect, Found as Copy, ListForm, Outcome, State};
+use quartzdrift_choice::interface::{Effect, ListForm, State};
 use quartzdrift_deferred::After;
 use quartzdrift_desk::FinalAnswer;
 use quartzdrift_recovery::{Age, Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings as Told, Stage};
@@ -92,10 +92,8 @@
             fingerprints_on_disk: settings.recovery.fingerprints_on_disk,
             load_window: settings.choice.copies.load_window.unwrap_or_default(),
             out: settings.deferred.out,
-            schedulers: settings.choice.schedulers.unwrap_or(1).max(found.known.len() as u32 + 1),
             store,
             life: self.identity,
-            seed: self.identity,
         };
         let (now, was_clean) = (self.now(), found.was_clean());
         tracing::info!(disk = ?found.disk, age = ?found.age(), was_clean, "found of before");
@@ -228,41 +226,14 @@
         self.deferred.allow(allowed.unwrap_or(most));
     }
 
-    /// Whether a synchronous call may become a job now; else when to come back. `mark`: its client's own.
-    pub(super) fn let_in(
-        &mut self,
-        name: &str,
-        workload: u32,
-        mark: bool,
-        is_retry: bool,
-    ) -> Result<(), Duration> {
-        let now = self.now();
+    /// Whether a call may become a job now; else when to come back. `mark`: its client's own.
+    pub(super) fn let_in(&self, workload: u32, mark: bool, is_retry: bool) -> Result<(), Duration> {
         let of = &self.settings.choice.workloads[workload as usize];
         let marks_retries = self.settings.choice.clients_mark_retries;
-        let Some(returning) = &mut self.returning else { return Ok(()) };
         let may_repeat = of.effect == Effect::Fingerprinted && mark && (is_retry || !marks_retries);
-        if may_repeat && let Some(wait) = returning.machine.repeats_wait(now, of.window.unwrap_or_default()) {
-            return Err(wait);
-        }
-        returning.machine.admit(now, name, of.importance.unwrap_or(1.0))
-    }
-
-    /// An execution has told whether its function's copy stood.
-    pub(super) fn execution_told(&mut self, name: &str, outcome: Outcome, found: Copy, sent: Duration) {
-        let (now, hint) = (self.now(), self.settings.function(name).and_then(|function| function.load));
-        let paced = |returning: &&mut Returning| {
-            matches!(returning.machine.stage(), Stage::Synchronous | Stage::Backlog)
-        };
-        let Some(returning) = self.returning.as_mut().filter(paced) else { return };
-        let (loads, took) = (&mut returning.machine.loads, now.saturating_sub(sent));
-        match (outcome, found) {
-            (Outcome::Miss, _) | (_, Copy::LoadFailed) => loads.refused(now, name),
-            (Outcome::Finished, Copy::Warm) => loads.stood(name),
-            (Outcome::Finished, Copy::BeganLoad | Copy::AwaitedLoad | Copy::Untold) => {
-                loads.loaded(now, name, took, hint)
-            }
-            (_, _) => loads.moot(name),
-        }
+        let Some(returning) = self.returning.as_ref().filter(|_| may_repeat) else { return Ok(()) };
+        let wait = returning.machine.repeats_wait(self.now(), of.window.unwrap_or_default());
+        wait.map_or(Ok(()), Err)
     }
 
     /// A job had its final answer.
@@ -274,9 +245,6 @@
             return;
         };
         let finished = answer == FinalAnswer::Finished;
-        if !finished {
-            returning.machine.loads.moot(&work.function);
-        }
         if matches!(work.origin, Origin::Client(_)) && answer != FinalAnswer::Expired {
             returning.machine.answered(finished && now.saturating_sub(work.taken) <= target);
         }
--- a/crates/quartzdrift/src/gateway/workers.rs
+++ b/crates/quartzdrift/src/gateway/workers.rs
@@ -9,7 +9,6 @@
 use quartzdrift_invoke::{call, models};
 use quartzdrift_roster::list;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Bytes of a streamed answer that wait for a slow client at most; more, and the client is cut off.
 const STREAM_MOST: usize = 1 << 20;
@@ -71,8 +70,7 @@
         let call = self.http.call(address, Outgoing { streams, ..outgoing });
         tracing::trace!(job, execution, %worker, %function, "execution sent");
         self.executions.insert((job, execution), call);
-        self.calls
-            .insert(call, Use::Execution { job, execution, work, worker, sent: self.now(), began: false });
+        self.calls.insert(call, Use::Execution { job, execution, work, worker, began: false });
     }
 
     /// Closes an execution's connection; nothing more of it is heard.
@@ -102,22 +100,12 @@
         answer.headers.get(orca::FIELD).map(Report::read).unwrap_or_default()
     }
 
-    fn end(
-        &mut self,
-        of: (JobId, u32),
-        from: Option<(Rc<Work>, Duration)>,
-        outcome: Outcome,
-        answer: Option<Response>,
-    ) {
-        let (job, execution) = of;
+    fn end(&mut self, job: JobId, execution: u32, outcome: Outcome, answer: Option<Response>) {
         self.executions.remove(&(job, execution));
         let report = answer.as_ref().map(Self::report).unwrap_or_default();
         let (found, crowd) = (verdict::found(&report), verdict::crowd(&report));
         let ended = Ended { outcome, found, crowd, report: self.figures(&report) };
         tracing::trace!(job, execution, ?outcome, "execution ended");
-        if let Some((work, sent)) = from {
-            self.execution_told(&work.function, outcome, found, sent);
-        }
         self.in_hand = answer.filter(|_| outcome == Outcome::Finished);
         self.desk.ended(self.now(), job, execution, ended);
         self.carry_out();
@@ -138,9 +126,7 @@
             None => return,
         }
         match self.calls.remove(&call) {
-            Some(Use::Execution { job, execution, work, sent, .. }) => {
-                self.end((job, execution), Some((work, sent)), outcome, Some(answer))
-            }
+            Some(Use::Execution { job, execution, .. }) => self.end(job, execution, outcome, Some(answer)),
             Some(Use::Probe { order }) => {
                 self.orders.remove(&order);
                 let report = self.figures(&Self::report(&answer));
@@ -173,7 +159,7 @@
         let (job, execution, origin, id) = (*job, *execution, work.origin, work.id);
         let (Outcome::Finished, Origin::Client(exchange)) = (outcome, origin) else {
             self.drop_execution(job, execution);
-            return self.end((job, execution), None, outcome, Some(answer));
+            return self.end(job, execution, outcome, Some(answer));
         };
         *began = true;
         let mut headers = Headers::new().with("x-amzn-requestid", &id.to_string());
@@ -205,7 +191,7 @@
                 if let Origin::Client(exchange) = work.origin {
                     self.http.finish(exchange);
                 }
-                self.end((job, execution), None, Outcome::Finished, None);
+                self.end(job, execution, Outcome::Finished, None);
             }
             Some(Use::Stream) => self.roster_stream_lost("it ended"),
             Some(_) | None => {}
@@ -215,13 +201,13 @@
     pub(super) fn call_failed(&mut self, call: CallId, how: Failure) {
         let outcome = verdict::outcome(seen(how));
         match self.calls.remove(&call) {
-            Some(Use::Execution { job, execution, work, worker, sent, began }) => {
+            Some(Use::Execution { job, execution, work, worker, began }) => {
                 tracing::debug!(job, execution, %worker, ?how, "execution failed");
                 if let (true, Origin::Client(exchange)) = (began, work.origin) {
                     // Cut off, so that the client does not take half an answer for a whole one.
                     self.http.cut(exchange);
                 }
-                self.end((job, execution), Some((work, sent)), outcome, None);
+                self.end(job, execution, outcome, None);
             }
             Some(Use::Probe { order } | Use::Load { order }) => {
                 self.orders.remove(&order);
