--- a/crates/quartzdrift-lab/src/emulate/returning.rs
+++ b/crates/quartzdrift-lab/src/emulate/returning.rs
@@ -37,7 +37,7 @@
         let name = format!("s{s}");
         let found = match self.schedulers[s].returning.noted.take() {
             Some((mark, known)) => Found::marked(mark, &name, known, moment),
-            None => Found { mark: None, disk: Disk::Empty, known: Vec::new(), now: moment },
+            None => Found { mark: None, disk: Disk::Empty, known: Vec::new(), now: moment, beside: false },
         };
         let settings = Settings {
             name,
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -663,7 +663,8 @@
 #[test]
 fn a_successor_at_the_same_address_takes_over_with_nothing_refused() {
     let stage = Stage::new(1);
-    let mut old = stage.gateway_with("share_port = true", "");
+    let state = stage.folder.path().join("state");
+    let mut old = stage.gateway_with(&format!("share_port = true\nstate = \"{}\"", state.display()), "");
     let file = stage.folder.path().join("successor.toml");
     let text = std::fs::read_to_string(stage.folder.path().join("gateway.toml")).unwrap();
     std::fs::write(&file, text.replace("127.0.0.1:0", &old.at.to_string())).unwrap();
@@ -699,6 +700,9 @@
         statuses
     });
     assert!(statuses.len() > 20 && statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    let bytes = saved::last(&state, saved::STAGES).unwrap().unwrap();
+    let view: quartzdrift_recovery::View = serde_json::from_slice(&bytes).unwrap();
+    assert_eq!((view.verdict.unwrap().kind, view.starts), (quartzdrift_recovery::Kind::Planned, 2));
 }
 
 /// Kills a gateway outright again and again while deferred jobs come, and looks at what workers saw.
--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -182,7 +182,8 @@
             settings,
             found,
         };
-        if !recovery.settings.fleet {
+        // One that takes over cannot be heard before the other has left, and need not ask: it was never away.
+        if !recovery.settings.fleet || recovery.found.beside {
             recovery.judge(now);
         }
         recovery
--- a/crates/quartzdrift-recovery/src/start.rs
+++ b/crates/quartzdrift-recovery/src/start.rs
@@ -59,14 +59,16 @@
     /// Members that counted at the end of the last life.
     pub known: Vec<String>,
     pub now: Moment,
+    /// The last life still runs beside this one: it hands over.
+    pub beside: bool,
 }
 
 impl Found {
     /// Of a mark that could be read, for a scheduler of this name.
     pub fn marked(mark: Mark, name: &str, known: Vec<String>, now: Moment) -> Found {
         match mark.name == name {
-            true => Found { mark: Some(mark), disk: Disk::Whole, known, now },
-            false => Found { mark: None, disk: Disk::Foreign, known: Vec::new(), now },
+            true => Found { mark: Some(mark), disk: Disk::Whole, known, now, beside: false },
+            false => Found { mark: None, disk: Disk::Foreign, known: Vec::new(), now, beside: false },
         }
     }
 
@@ -78,7 +80,7 @@
     /// Whether the last life, if there was one, stopped as planned.
     pub fn was_clean(&self) -> bool {
         match (&self.mark, self.disk) {
-            (Some(mark), Disk::Whole) => mark.clean,
+            (Some(mark), Disk::Whole) => mark.clean || self.beside,
             (_, disk) => disk == Disk::Empty,
         }
     }
@@ -153,6 +155,7 @@
     let missing = if clean { lost } else { lost + silent + 1 };
     let alone = heard.is_empty() && silent == 0;
     let many = missing >= 2 && missing * MANY > heard.len() + silent;
+    // What the last start was is not known: it may have been one after a loss.
     let unsettled = found.mark.as_ref().is_some_and(|mark| !mark.clean && !mark.settled);
     let kind = match clean {
         _ if many => Kind::LossOfMany,
@@ -222,6 +225,7 @@
             ),
             ("alone, the machine ran on", &crashed, vec![], 0, Kind::CrashOfOne),
             ("alone, the machine was off", &found(false, 3, "other"), vec![], 0, Kind::LossOfMany),
+            ("hands over", &Found { beside: true, ..found(false, 1, "k") }, vec![], 0, Kind::Planned),
             ("stopped as planned", &found(true, 3, "k"), vec![long.clone(); 4], 0, Kind::Planned),
             ("all stopped as planned", &found(true, 3, "k"), vec![heard(2, true, 4); 3], 1, Kind::Planned),
             (
@@ -245,7 +249,8 @@
         assert_eq!(kind(&whole, &[heard(900, true, 5), heard(900, true, 3)], 0).1, Disk::Old);
         // A copy from before a planned stop is no planned stop.
         assert_eq!(kind(&found(true, 3, "k"), &[heard(900, true, 9)], 0), (Kind::CrashOfOne, Disk::Old));
-        let empty = Found { mark: None, disk: Disk::Empty, known: vec![], now: moment(0, "k") };
+        let empty =
+            Found { mark: None, disk: Disk::Empty, known: vec![], now: moment(0, "k"), beside: false };
         assert_eq!(kind(&empty, &[heard(9, true, 0)], 0), (Kind::First, Disk::Empty));
         assert_eq!(kind(&empty, &[heard(900, false, 1)], 0), (Kind::CrashOfOne, Disk::Gone));
         assert_eq!(
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -9,6 +9,7 @@
 use quartzdrift_recovery::{Age, Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings as Told, Stage};
 use quartzdrift_store::Live;
 use serde::{Deserialize, Serialize};
+use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
 use std::path::Path;
 use std::time::Duration;
@@ -26,6 +27,19 @@
     force_at: Duration,
     /// Deferred jobs of before, until it is known what they may do.
     pub held: Vec<Live>,
+    /// Held by the process that this state is of; one that takes over gets it once the other has ended.
+    lock: Option<File>,
+}
+
+/// The state folder's lock, unless another process holds it.
+fn lock(folder: &Path) -> io::Result<Option<File>> {
+    std::fs::create_dir_all(folder)?;
+    let file = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join("lock"))?;
+    match file.try_lock() {
+        Ok(()) => Ok(Some(file)),
+        Err(TryLockError::WouldBlock) => Ok(None),
+        Err(TryLockError::Error(e)) => Err(e),
+    }
 }
 
 /// Whose a store of deferred jobs is, beside it.
@@ -44,7 +58,7 @@
 pub(super) fn found(settings: &Settings, now: Moment) -> Option<Found> {
     let folder = settings.state.as_deref()?;
     let known = super::fleet::known(Some(folder));
-    let without = |disk| Found { mark: None, disk, known: known.clone(), now: now.clone() };
+    let without = |disk| Found { mark: None, disk, known: known.clone(), now: now.clone(), beside: false };
     let read =
         saved::last(folder, MARK).map(|bytes| bytes.map(|bytes| serde_json::from_slice::<Mark>(&bytes)));
     Some(match read {
@@ -80,7 +94,11 @@
 
 impl Gateway {
     pub(super) fn start_recovery(&mut self, found: Option<Found>) -> io::Result<()> {
-        let Some(found) = found else { return Ok(()) };
+        let (Some(found), Some(folder)) = (found, self.settings.state.clone()) else { return Ok(()) };
+        let lock = lock(&folder).map_err(|e| {
+            io::Error::new(e.kind(), format!("the state in {} cannot be locked: {e}", folder.display()))
+        })?;
+        let found = Found { beside: lock.is_none(), ..found };
         let settings = self.settings.clone();
         let store = settings.store.as_deref().map(|path| owner(path, &settings)).transpose();
         let store = store.map_err(|e| io::Error::other(format!("deferred jobs: {e}")))?.flatten();
@@ -98,7 +116,7 @@
         let (now, was_clean) = (self.now(), found.was_clean());
         tracing::info!(disk = ?found.disk, age = ?found.age(), was_clean, "found of before");
         let machine = Recovery::new(told, found, now);
-        self.returning = Some(Returning { machine, note_at: now, force_at: now, held: Vec::new() });
+        self.returning = Some(Returning { machine, note_at: now, force_at: now, held: Vec::new(), lock });
         // Noted before anything leaves: whoever starts next knows that this start was.
         self.note_start()
     }
@@ -127,6 +145,9 @@
         let (now, at) = (self.now(), self.clock.note());
         let (Some(returning), Some(saver)) = (&mut self.returning, &self.saver) else { return };
         returning.note_at = now + NOTE_EVERY;
+        if let (None, Some(folder)) = (&returning.lock, &self.settings.state) {
+            returning.lock = lock(folder).ok().flatten();
+        }
         for (name, bytes) in [
             (MARK, serde_json::to_vec(&returning.machine.mark(at))),
             (STAGES, serde_json::to_vec_pretty(&returning.machine.view(now))),
