Module: after a loss the cold budget is what was measured before it

Cause: a scheduler that starts has finished nothing, so that its budget for cold workers is nothing; after a power loss all workers are cold.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -6,7 +6,7 @@
 //! inboxes; one loop empties them all before the next event. A job is a call for offers to every worker: set
 //! aside those past the overload bound, rank the rest by cache status, then by fewest estimated jobs.
 use crate::interface::*;
-use crate::measure::{Histogram, Peak, Shares, Window};
+use crate::measure::{Histogram, Measured, Peak, Shares, Window};
 use crate::names::{Names, hash, place};
 use crate::notes::*;
 use crate::post::Post;
@@ -370,8 +370,7 @@
     took: Shares,
     /// The most finished a second and the most workers up, what workers can surely do also in a jam: the
     /// fleet's and, by kind of machine, that of workers alike.
-    peaks: BTreeMap<Option<u32>, Peak>,
-    most_up: BTreeMap<Option<u32>, usize>,
+    pub measured: Measured,
     /// Each customer's part of what all may ask.
     parts: Vec<f64>,
     drawn: u64,
@@ -499,6 +498,7 @@
                 }
             }
             Event::Expected(expected) => self.expected(&expected),
+            Event::Measured(before) => self.measured = before,
             Event::Schedulers(count) => self.figures.schedulers = f64::from(count.max(1)),
             Event::Loaded { worker, function, outcome, took, copies } => {
                 self.loaded(worker, function, outcome, took, copies);
@@ -646,7 +646,8 @@
                 let (weight, machine) = (self.weight(workload), self.workers[worker].listing.kind);
                 self.finished.add(customer, weight, now);
                 for of in [None, Some(machine)] {
-                    self.peaks.entry(of).or_insert(Peak::new(RATE_HALF, SWEEP)).add(weight, now);
+                    let peak = self.measured.peaks.entry(of).or_insert(Peak::new(RATE_HALF, SWEEP));
+                    peak.add(weight, now);
                 }
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
@@ -692,7 +693,8 @@
                 [None, Some(worker.listing.kind)].iter().for_each(|&of| *up.entry(of).or_insert(0) += 1);
             }
             for (of, count) in up {
-                self.most_up.entry(of).and_modify(|most| *most = count.max(*most)).or_insert(count);
+                let most = self.measured.most_up.entry(of).or_insert(count);
+                *most = count.max(*most);
             }
         }
         if !may_send || spent || job.give_up < self.now + USELESS || self.listed.is_empty() {
@@ -717,8 +719,8 @@
 
     /// What each worker of a kind, or of all, surely takes a second.
     fn can_do(&self, of: Option<u32>) -> f64 {
-        let peak = self.peaks.get(&of).map_or(0.0, |peak| peak.now(self.now));
-        peak / self.most_up.get(&of).map_or(1.0, |&most| most as f64)
+        let peak = self.measured.peaks.get(&of).map_or(0.0, |peak| peak.now(self.now));
+        peak / self.measured.most_up.get(&of).map_or(1.0, |&most| most as f64)
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
--- a/crates/quartzdrift-choice/src/interface.rs
+++ b/crates/quartzdrift-choice/src/interface.rs
@@ -1,6 +1,7 @@
 //! What goes into the decision module and what comes out of it. Types only.
 //!
 //! Times are spans since the clock's zero. A setting that was not told is `None`.
+use crate::measure::Measured;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -329,6 +330,8 @@
     Schedulers(u32),
     /// Without it nothing is loaded ahead of need.
     Expected(Expectation<'a>),
+    /// What an earlier start of this scheduler had measured, by a clock that goes on in ours.
+    Measured(Measured),
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/quartzdrift-choice/src/lib.rs
+++ b/crates/quartzdrift-choice/src/lib.rs
@@ -19,7 +19,7 @@
 //! ```
 pub mod choice;
 pub mod interface;
-mod measure;
+pub mod measure;
 mod names;
 mod notes;
 mod post;
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -1,5 +1,6 @@
 //! Measurements that forget: a histogram of times in coarse bins and a sum that fades. How coarse and how
 //! fast is for the decision module to say.
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
 }
 
 /// A sum that loses half its say in each span `half`.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Fading {
     sum: f64,
     at: Duration,
@@ -100,7 +101,7 @@
 }
 
 /// Fading sums of several parts and of them all.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Shares {
     half: Duration,
     began: Option<Duration>,
@@ -136,7 +137,7 @@
 }
 
 /// The most that was added a second, of which half is forgotten in each span `fade`.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Peak {
     sums: Shares,
     fade: Duration,
@@ -158,3 +159,11 @@
         self.most.now(now, self.fade)
     }
 }
+
+/// What workers were seen to do, by kind of machine, `None`: of all: the most finished a second, and the most workers up. Times are
+/// those of the clock that measured.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Measured {
+    pub peaks: BTreeMap<Option<u32>, Peak>,
+    pub most_up: BTreeMap<Option<u32>, usize>,
+}
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -21,6 +21,8 @@
 //!     places-most workers 630    kept, of workers, functions or jobs; also places-least
 //!     pushed-back 7, killed 7, cancelled 7, watched, quiet, sent-most a 5, sent-least a 5,
 //!     schedulers 40              so many from now on
+//!     restart knowing            a new start that is told what the old one had measured; `restart`: it is not; what
+//!                                was sent counts anew
 //!     forget                     drops the actions since
 use quartzdrift_choice::choice::Scheduler;
 use quartzdrift_choice::interface::*;
@@ -348,6 +350,13 @@
                 })?;
             }
             "schedulers" => self.give(Event::Schedulers(number(words.get(1))?)),
+            "restart" => {
+                let before = self.scheduler.take().map(|old| old.measured);
+                self.sends.clear();
+                if let (Some(before), Some(&"knowing")) = (before, words.get(1)) {
+                    self.give(Event::Measured(before));
+                }
+            }
             "forget" => self.pending.clear(),
             "quiet" => {
                 self.pending.retain(|a| !matches!(a, Action::Timer { .. }));
--- a/crates/quartzdrift-desk/src/desk.rs
+++ b/crates/quartzdrift-desk/src/desk.rs
@@ -1,6 +1,7 @@
 use crate::timers::{TimerId, Timers};
 use quartzdrift_choice::choice::Scheduler;
 use quartzdrift_choice::interface::*;
+use quartzdrift_choice::measure::Measured;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -357,6 +358,18 @@
         self.settle();
     }
 
+    /// What the module has measured of workers, for a later start.
+    pub fn measured(&self) -> &Measured {
+        &self.scheduler.measured
+    }
+
+    /// What an earlier start had measured, where workers may be taken for those of then.
+    pub fn measured_before(&mut self, now: Duration, before: Measured) {
+        self.turn(now);
+        self.feed(Event::Measured(before));
+        self.settle();
+    }
+
     /// There are so many schedulers from now on.
     pub fn schedulers(&mut self, now: Duration, count: u32) {
         self.turn(now);
--- a/crates/quartzdrift-lab/src/emulate/returning.rs
+++ b/crates/quartzdrift-lab/src/emulate/returning.rs
@@ -1,6 +1,7 @@
 //! How schedulers return to service after they were killed: the real state machine, told what the emulator's members say.
 //! Nothing is on disk here but what a scheduler noted when it was killed, and clocks are true.
 use super::{START, Sim};
+use quartzdrift_choice::measure::Measured;
 use quartzdrift_recovery::{Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings};
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
     pub judged: Option<(Duration, Kind)>,
     since: Duration,
     starts: u32,
+    /// What its desk had measured when it was killed, and when the next one is told.
+    pub measured: Option<Measured>,
+    pub tell_at: Option<Duration>,
 }
 
 impl Sim<'_> {
@@ -56,8 +60,10 @@
     /// What a scheduler noted last is there at its next start.
     pub(super) fn return_killed(&mut self, s: usize, known: Vec<String>) {
         let moment = self.moment(s);
+        let measured = self.schedulers[s].desk.as_ref().map(|desk| desk.measured().clone());
         let returning = &mut self.schedulers[s].returning;
         if let Some(machine) = returning.machine.take() {
+            returning.measured = measured;
             returning.noted = Some((machine.mark(moment), known));
         }
     }
@@ -71,6 +77,11 @@
             // Deferred jobs are not modelled: there is no backlog.
             machine.backlog_through(now);
         }
+        let returning = &mut self.schedulers[s].returning;
+        let tells = returning.tell_at.take_if(|at| *at <= now).and_then(|_| returning.measured.take());
+        if let (Some(measured), Some(desk)) = (tells, &mut self.schedulers[s].desk) {
+            desk.measured_before(now, measured);
+        }
         self.return_says(s);
     }
 
@@ -85,6 +96,10 @@
                     fleet.members.tell(&to, quartzdrift_recovery::RECOVERY, bytes);
                 }
                 (Output::Judged(verdict), _) => {
+                    if verdict.kind == Kind::LossOfMany && verdict.disk == Disk::Whole {
+                        scheduler.returning.tell_at =
+                            Some(scheduler.returning.since + self.script.fall_window);
+                    }
                     scheduler.returning.judged = Some((self.now - scheduler.returning.since, verdict.kind));
                 }
                 (Output::Tell { .. } | Output::Stage(_), _) => {}
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -870,3 +870,31 @@
     let said = String::from_utf8_lossy(&refused.stderr).into_owned();
     assert!(!refused.status.success() && said.contains("store of the scheduler ''"), "{said}");
 }
+
+#[test]
+fn cold_workers_are_sent_what_was_measured_before_a_power_loss() {
+    let stage = Stage::new(2);
+    let (state, file) = (stage.folder.path().join("state"), stage.folder.path().join("gateway.toml"));
+    let more = "[rules]\ncold_from = 0.3\ncold_for = \"60s\"\nfall_multiple = 3.0\nfall_window = \"400ms\"\n";
+    let gateway = stage.gateway_with(&format!("state = \"{}\"", state.display()), more);
+    let until = Instant::now() + Duration::from_secs(20);
+    while saved::last(&state, saved::MEASURED).unwrap().is_none_or(|bytes| bytes.len() < 30) {
+        assert!(Instant::now() < until, "what is measured is saved");
+        assert_eq!(gateway.invoke("echo", "{}").status, 200);
+    }
+    drop(gateway);
+    // Both lost power as well: cold for a minute, as far as the gateway knows.
+    let gateway = Gateway::start_on(&file, &["--boot", "anew"]);
+    assert_eq!(gateway.invoke("echo", "{}").status, 429, "within the cold rule's window nothing is spent");
+    let until = Instant::now() + Duration::from_secs(20);
+    while gateway.invoke("echo", "{}").status != 200 {
+        assert!(Instant::now() < until, "cold workers are sent something");
+        std::thread::sleep(20 * MS);
+    }
+    // Without what was measured, nothing.
+    drop(gateway);
+    std::fs::remove_file(state.join(saved::MEASURED)).unwrap();
+    let gateway = Gateway::start_on(&file, &["--boot", "again"]);
+    std::thread::sleep(600 * MS);
+    assert_eq!(gateway.invoke("echo", "{}").status, 429);
+}
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -1,7 +1,7 @@
 //! From the start to full service: what was found on disk goes to `quartzdrift-recovery`, which says what is believed and what
 //! is let in; here it is carried out. Off without `gateway.state`: then every start is taken as it was before.
 use super::{Gateway, Origin, Work};
-use crate::saved::{self, ASIDE, FORCE, MARK, MEMBERS, STAGES, WORKERS};
+use crate::saved::{self, ASIDE, FORCE, MARK, MEASURED, MEMBERS, STAGES, WORKERS};
 use crate::settings::Settings;
 use quartzdrift_choice::interface::{Effect, ListForm, State};
 use quartzdrift_deferred::After;
@@ -25,6 +25,8 @@
     pub machine: Recovery,
     note_at: Duration,
     force_at: Duration,
+    /// When the decision module is told what was measured before a loss.
+    tell_at: Option<Duration>,
     /// Deferred jobs of before, until it is known what they may do.
     pub held: Vec<Live>,
     /// Held by the process that this state is of; one that takes over gets it once the other has ended.
@@ -116,7 +118,8 @@
         let (now, was_clean) = (self.now(), found.was_clean());
         tracing::info!(disk = ?found.disk, age = ?found.age(), was_clean, "found of before");
         let machine = Recovery::new(told, found, now);
-        self.returning = Some(Returning { machine, note_at: now, force_at: now, held: Vec::new(), lock });
+        self.returning =
+            Some(Returning { machine, note_at: now, force_at: now, tell_at: None, held: Vec::new(), lock });
         // Noted before anything leaves: whoever starts next knows that this start was.
         self.note_start()
     }
@@ -145,6 +148,13 @@
         let (now, at) = (self.now(), self.clock.note());
         let (Some(returning), Some(saver)) = (&mut self.returning, &self.saver) else { return };
         returning.note_at = now + NOTE_EVERY;
+        // Until the module has been told of it, what an earlier start measured stays.
+        if returning.machine.verdict().is_some()
+            && returning.tell_at.is_none()
+            && let Ok(bytes) = postcard::to_stdvec(self.desk.measured())
+        {
+            saver.save(MEASURED, bytes);
+        }
         if let (None, Some(folder)) = (&returning.lock, &self.settings.state) {
             returning.lock = lock(folder).ok().flatten();
         }
@@ -161,7 +171,10 @@
     pub(super) fn recovery_next(&self) -> Option<Duration> {
         let returning = self.returning.as_ref()?;
         let force = (returning.machine.stage() != Stage::Full).then_some(returning.force_at);
-        [Some(returning.note_at), returning.machine.next_due(), force].into_iter().flatten().min()
+        [Some(returning.note_at), returning.machine.next_due(), force, returning.tell_at]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     pub(super) fn recovery_due(&mut self, now: Duration) {
@@ -177,6 +190,10 @@
                 returning.machine.force(now);
             }
         }
+        if returning.tell_at.take_if(|at| *at <= now).is_some() {
+            self.tell_measured(now);
+        }
+        let Some(returning) = &mut self.returning else { return };
         if !self.deferred.is_busy(now) {
             returning.machine.backlog_through(now);
         }
@@ -203,6 +220,12 @@
                     }
                     if kind == Kind::LossOfMany {
                         self.doubt_workers();
+                        // Not within the cold rule's window: what the last life spent in it is not spent again.
+                        let window = self.settings.choice.rules.fall_window.unwrap_or_default();
+                        let at = (disk == Disk::Whole).then(|| self.now() + window);
+                        if let Some(returning) = &mut self.returning {
+                            returning.tell_at = at;
+                        }
                     }
                     self.restore_held();
                 }
@@ -216,6 +239,20 @@
         self.allow_deferred();
     }
 
+    /// The decision module's budget for cold workers is what it measured of warm ones: before the loss they did so much.
+    fn tell_measured(&mut self, now: Duration) {
+        let otherwise = "what was measured before cannot be read; it begins anew";
+        let saved = saved::found(self.settings.state.as_deref(), MEASURED, otherwise);
+        match saved.map(|bytes| postcard::from_bytes(&bytes)) {
+            Some(Ok(before)) => {
+                self.desk.measured_before(now, before);
+                self.carry_out();
+            }
+            Some(Err(e)) => tracing::warn!(error = %e, "what was measured before is set aside"),
+            None => {}
+        }
+    }
+
     /// Workers that no list has told of since are cold: they lost power too.
     fn doubt_workers(&mut self) {
         if self.roster.has_come() {
--- a/crates/quartzdrift/src/saved.rs
+++ b/crates/quartzdrift/src/saved.rs
@@ -16,6 +16,8 @@
 pub const MEMBERS: &str = "members.json";
 /// What a start goes on from; and, in the folder of deferred jobs, whose they are.
 pub const MARK: &str = "recovery.json";
+/// What the decision module has measured of workers.
+pub const MEASURED: &str = "measured.snapshot";
 /// A mark that could not be read.
 pub const ASIDE: &str = "recovery.aside";
 /// What operators see of a start.
