--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -423,6 +423,9 @@
                 std::fs::write(&mark, bytes)?;
             }
             Spoil::Older | Spoil::Other => {
+                if how == Spoil::Older {
+                    self.recorder.see(Seen::DiskLost { gateway: n as u64 });
+                }
                 let from = match how {
                     Spoil::Older => state.with_extension("copy"),
                     _ => self.gateways[(n + 1) % self.gateways.len()].state.clone(),
@@ -440,7 +443,10 @@
                     std::fs::rename(&own, &deferred)?;
                 }
             }
-            Spoil::Empty => std::fs::remove_dir_all(&state)?,
+            Spoil::Empty => {
+                self.recorder.see(Seen::DiskLost { gateway: n as u64 });
+                std::fs::remove_dir_all(&state)?;
+            }
             Spoil::Unreadable => {
                 std::fs::remove_file(&mark)?;
                 std::fs::create_dir(&mark)?;
--- a/crates/quartzdrift-lab/src/lib.rs
+++ b/crates/quartzdrift-lab/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod functions;
 pub mod light;
 pub mod load;
+pub mod losses;
 pub mod measure;
 pub mod model;
 pub mod naive;
--- /dev/null
+++ b/crates/quartzdrift-lab/src/losses.rs
@@ -0,0 +1,122 @@
+//! Days of power loss drawn from a seed: who is back when, what is spoilt, cut off, set wrong or lost again meanwhile.
+use crate::badday::{self, Day, Program};
+use crate::script;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::fmt::Write as _;
+use std::io;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Power goes after this, in ms: some jobs are out, some wait.
+const OFF_MS: u64 = 2_000;
+
+/// The script of a seed; the same for each.
+pub fn day(seed: u64) -> String {
+    let mut chance = StdRng::seed_from_u64(seed);
+    let gateways = chance.random_range(3..6);
+    let workers = chance.random_range(3..6);
+    let mut text = format!(
+        "gateways {gateways}\nworkers {workers} cores=4 memory=1600 keep=60s queue=60\n\
+         store capacity={} limit=16\nroster lag=20ms\nfleet 50ms\n\
+         workload quote restartable rate=30 work=5ms limit=2s functions=4 memory=60 load=100ms lanes=2\n\
+         workload stamp fingerprinted window=3s rate=10 work=40ms limit=1s functions=1 memory=60 load=100ms lanes=2\n\
+         workload pay run-once rate=10 work=40ms limit=1s functions=1 memory=60 load=100ms lanes=2\n\
+         workload again restartable rate=10 work=40ms limit=2s functions=1 memory=60 load=100ms lanes=2 deferred\n\
+         workload sealed fingerprinted window=3s rate=10 work=80ms limit=2s functions=1 memory=60 load=100ms lanes=2 deferred\n\
+         workload once run-once rate=10 work=80ms limit=2s functions=1 memory=60 load=100ms lanes=2 deferred\n\
+         length 9s\nat 1s copy gateway 0\n",
+        chance.random_range(3..9),
+    );
+    let mut line = |at: u64, what: String| {
+        // Writing into a string cannot fail.
+        let _ = writeln!(text, "at {at}ms {what}");
+    };
+    let mut off = OFF_MS;
+    for _ in 0..if chance.random_bool(0.3) { 2 } else { 1 } {
+        line(off, "power off all".to_owned());
+        let back = off + chance.random_range(100..1_500);
+        line(back + chance.random_range(0..800), "power on roster".to_owned());
+        for n in 0..workers {
+            line(back + chance.random_range(0..800), format!("power on workers {n} {n}"));
+        }
+        let never = chance.random_bool(0.2).then(|| chance.random_range(0..gateways));
+        for n in (0..gateways).filter(|n| Some(*n) != never) {
+            line(back + chance.random_range(0..1_000), format!("power on gateways {n} {n}"));
+        }
+        if off == OFF_MS {
+            let spoils = ["cut", "flip", "older", "other", "empty", "unreadable"];
+            if chance.random_bool(0.4) {
+                line(off + 50, format!("spoil gateway 0 {}", spoils[chance.random_range(0..spoils.len())]));
+            }
+            if chance.random_bool(0.4) {
+                let way = if chance.random_bool(0.5) { "ahead" } else { "behind" };
+                line(off + 50, format!("clock gateway 1 {way} 1h"));
+            }
+            if chance.random_bool(0.3) {
+                let way = if chance.random_bool(0.5) { "apart" } else { "unheard" };
+                line(off + 50, format!("{way} gateways 0 {}", chance.random_range(0..gateways - 1)));
+                line(back + 2_500, "together gateways".to_owned());
+            }
+            if chance.random_bool(0.3) {
+                line(OFF_MS / 2, format!("lose datagrams {:.2}", chance.random_range(0.05..0.4)));
+                line(OFF_MS / 2, "double datagrams 0.2".to_owned());
+                line(OFF_MS / 2, "late datagrams 20ms".to_owned());
+            }
+        }
+        off = back + chance.random_range(300..1_500);
+    }
+    text
+}
+
+/// A day that broke a rule, or could not be played.
+pub struct Bad {
+    pub seed: u64,
+    pub what: String,
+}
+
+/// Plays the days of these seeds, so many at a time; `tell` hears of each.
+pub fn play(
+    seeds: std::ops::Range<u64>,
+    at_a_time: usize,
+    program: &Program,
+    tell: impl Fn(u64, &io::Result<Day>) + Sync,
+) -> Vec<Bad> {
+    let (next, bad) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..at_a_time.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        return;
+                    }
+                    let read = script::read(&day(seed)).map_err(io::Error::other);
+                    let played = read.and_then(|script| badday::play(&script, program, seed));
+                    tell(seed, &played);
+                    let what = match &played {
+                        Ok(day) if day.broken.is_empty() => continue,
+                        Ok(day) => day.broken.iter().map(|b| format!("{b}\n")).collect(),
+                        Err(e) => e.to_string(),
+                    };
+                    bad.lock().unwrap_or_else(PoisonError::into_inner).push(Bad { seed, what });
+                }
+            });
+        }
+    });
+    bad.into_inner().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_seed_draws_a_day_that_can_be_read_and_the_same_one_again() {
+        for seed in 0..500 {
+            script::read(&day(seed)).unwrap_or_else(|why| panic!("seed {seed}: {why}\n{}", day(seed)));
+        }
+        assert!(day(1) == day(1) && day(1) != day(2));
+    }
+}
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 use quartzdrift_lab::{
-    actor, audit, badday, day, emulate, experiment, load, measure, naive, roster, script, store, traffic,
-    worker,
+    actor, audit, badday, day, emulate, experiment, load, losses, measure, naive, roster, script, store,
+    traffic, worker,
 };
 
 use clap::{Parser, Subcommand};
@@ -83,6 +83,22 @@
         #[arg(long)]
         naive: bool,
     },
+    /// Play days of power loss drawn from seeds against several gateway processes, with faults between them
+    ///
+    /// Exit status 0 only where every rule was kept; seeds that broke one are printed, and played again by --from.
+    Recovery {
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// Days played at a time
+        #[arg(long, default_value_t = 3)]
+        at_a_time: usize,
+        /// Print the script of the first seed in place of playing
+        #[arg(long)]
+        script: bool,
+    },
     /// Call functions at a rate, open-loop, and report times by outcome
     Load {
         /// The addresses called in turn
@@ -224,6 +240,30 @@
             };
             return badday(script.as_deref(), seed..seed + times, record.as_deref(), &program);
         }
+        Command::Recovery { from, script: true, .. } => {
+            print!("{}", losses::day(from));
+            Ok(())
+        }
+        Command::Recovery { seeds, from, at_a_time, script: false } => {
+            std::env::current_exe().and_then(|path| {
+                let program = badday::Program::lab(&path, "gateway");
+                let bad =
+                    losses::play(from..from + seeds, at_a_time, &program, |seed, played| match played {
+                        Ok(day) => {
+                            println!("seed {seed}: {} calls, {} breaches", day.tally.asked, day.broken.len())
+                        }
+                        Err(e) => println!("seed {seed}: {e}"),
+                    });
+                bad.iter().for_each(|bad| println!("seed {} is bad:\n{}", bad.seed, bad.what));
+                match bad.len() {
+                    0 => {
+                    println!("{seeds} days of power loss, every rule was kept");
+                    Ok(())
+                }
+                    many => Err(std::io::Error::other(format!("{many} of {seeds} days were bad"))),
+                }
+            })
+        }
         Command::Load { to, mix, rate, length, payload, event, out, timeout, even, trace, seed } => {
             let (deferred, out_most) = (event, out);
             trace.as_deref().map(traffic::read).transpose().and_then(|trace| {
--- a/crates/quartzdrift-lab/src/record.rs
+++ b/crates/quartzdrift-lab/src/record.rs
@@ -92,6 +92,10 @@
     Fell {
         worker: String,
     },
+    /// What a gateway kept on disk is gone, or older than what it did.
+    DiskLost {
+        gateway: u64,
+    },
     /// Workers lost power: what they remembered is gone.
     WorkersLost,
     /// A gateway process runs from here on, and is killed outright there.
