After an unplanned end the first list of workers is believed over the saved one

After the loss the first list lacked most of the workers that were saved, and was doubted as a fault of the roster until it had come three times; meanwhile a worker that it did not name, just back, was sent a job 0.4 s after the list.

Change: what is believed from before an end that nobody planned is no ground for doubt of the first list after it; once the start is judged no loss, doubts are as before.

--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -898,3 +898,36 @@
     std::thread::sleep(600 * MS);
     assert_eq!(gateway.invoke("echo", "{}").status, 429);
 }
+
+#[test]
+fn a_list_of_before_a_power_loss_brings_no_worker_back() {
+    let stage = Stage::new(4);
+    let workers: Vec<String> = stage.workers.iter().map(|w| w.address.to_string()).collect();
+    let first: Vec<Listed> = workers.iter().map(|worker| Listed::up(worker)).collect();
+    let of = first.clone();
+    let roster = spawn(any(), move |handle, _| Roster::new(handle, of, Duration::ZERO, None)).unwrap();
+    let state = stage.folder.path().join("state");
+    let more = format!(
+        "[roster]\nurl = \"http://{}/workers/1\"\nstream = true\nevery = \"100ms\"\n",
+        roster.address
+    );
+    let gateway = stage.gateway_with(&format!("state = \"{}\"", state.display()), &more);
+    stage.wait("the list", |_| (gateway.invoke("echo", "{}").status == 200).then_some(()));
+    stage.wait("the saved list", |_| saved::last(&state, saved::WORKERS).ok().flatten().map(drop));
+    drop(gateway);
+    // All but one have not come back; their processes are left over here, and would answer.
+    let gone = quartzdrift_choice::interface::State::Gone;
+    first[1..]
+        .iter()
+        .for_each(|one| roster.tell(roster::Command::Set(Listed { state: gone, ..one.clone() })));
+    let file = stage.folder.path().join("gateway.toml");
+    let gateway = Gateway::start_on(&file, &["--boot", "anew"]);
+    let told = saved::last(&state, saved::WORKERS).unwrap().unwrap();
+    stage.wait("the list after it", |_| (saved::last(&state, saved::WORKERS).ok()?? != told).then_some(()));
+    for n in 0..20 {
+        gateway.invoke("echo", &format!("{{\"key\": \"after-{n}\"}}"));
+    }
+    let lines = stage.recorder.lines();
+    let after = |seen: &Seen| matches!(seen, Seen::Came { key, worker, .. } if key.starts_with("after-") && *worker != workers[0]);
+    assert!(!lines.iter().any(|line| after(&line.seen)));
+}
--- a/crates/quartzdrift-lab/tests/recovery.rs
+++ b/crates/quartzdrift-lab/tests/recovery.rs
@@ -1,6 +1,7 @@
 //! Fleets of gateway processes that lose power, parts or pieces of their state, with faults between them. The auditor judges
 //! each day by what passed on the sockets; what each gateway took its start for is read from its own state.
 use quartzdrift_lab::badday::{Day, Program, play};
+use quartzdrift_lab::losses;
 use quartzdrift_lab::record::Seen;
 use quartzdrift_lab::script;
 use quartzdrift_recovery::{Disk, Kind, Stage};
@@ -142,3 +143,11 @@
     assert_eq!(day.views[1], None, "it says what is wrong, and ends");
     assert!(finished_after(&day, 3.0) > 80, "the others serve on");
 }
+
+#[test]
+fn drawn_days_of_power_loss_keep_every_rule() {
+    let program = Program::lab(Path::new(env!("CARGO_BIN_EXE_quartzdrift-lab")), "gateway");
+    let bad = losses::play(1..11, 5, &program, |_, _| {});
+    let told: Vec<String> = bad.iter().map(|bad| format!("seed {}: {}", bad.seed, bad.what)).collect();
+    assert!(told.is_empty(), "{told:?}");
+}
--- a/crates/quartzdrift-roster/src/belief.rs
+++ b/crates/quartzdrift-roster/src/belief.rs
@@ -26,6 +26,8 @@
 pub struct Belief {
     up: BTreeMap<String, Listed>,
     doubted: Option<(Vec<String>, u32)>,
+    /// What is believed is from before an end that nobody planned.
+    of_before: bool,
 }
 
 impl Belief {
@@ -34,6 +36,12 @@
         self.up.values().cloned().collect()
     }
 
+    /// What is believed so far is from before an end that nobody planned, or has proved not to be: `before` false. A list from
+    /// before gives no ground for doubting the first one after it: what that lacks may have gone the same way.
+    pub fn of_before(&mut self, before: bool) {
+        self.of_before = before;
+    }
+
     pub fn knows(&self, worker: &str) -> bool {
         self.up.contains_key(worker)
     }
@@ -53,8 +61,9 @@
             list.workers.iter().map(|w| w.worker.as_str()).collect();
         let lacking: Vec<String> =
             self.up.keys().filter(|worker| !named.contains(worker.as_str())).cloned().collect();
-        let many = self.up.len() >= FEW && lacking.len() as f64 > LACK_MOST * self.up.len() as f64;
-        let empty = list.workers.is_empty() && !self.up.is_empty();
+        let before = std::mem::take(&mut self.of_before);
+        let many = !before && self.up.len() >= FEW && lacking.len() as f64 > LACK_MOST * self.up.len() as f64;
+        let empty = !before && list.workers.is_empty() && !self.up.is_empty();
         let torn = !list.unread.is_empty() && !lacking.is_empty();
         if !(many || empty || torn) {
             self.doubted = None;
@@ -115,6 +124,19 @@
         assert!(!belief.knows("a"));
     }
 
+    #[test]
+    fn a_list_from_before_an_unplanned_end_is_no_ground_for_doubt() {
+        for lacking in [&[][..], &["a"]] {
+            let mut belief = with(&["a", "b", "c", "d"]);
+            belief.of_before(true);
+            assert!(matches!(belief.full(list(lacking)), Believed::Full(_)));
+            assert!(!belief.knows("b"));
+            // The second one is doubted as ever.
+            belief.full(list(&["a", "b", "c", "d"]));
+            assert!(matches!(belief.full(list(lacking)), Believed::Named { .. }));
+        }
+    }
+
     #[test]
     fn a_partial_list_that_changes_starts_anew_and_its_drains_count() {
         let mut belief = with(&["a", "b", "c", "d"]);
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -189,6 +189,7 @@
             Some(Ok(_)) | None => self.settings.workers.clone(),
         };
         self.belief.changes(&workers);
+        self.belief.of_before(self.returning.as_ref().is_some_and(|of| !of.machine.found().was_clean()));
         self.give_list(ListForm::Saved, &workers);
     }
 
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -218,7 +218,9 @@
                     if let Err(e) = self.note_start() {
                         tracing::error!(error = %e, "the next start may not know of this one");
                     }
-                    if kind == Kind::LossOfMany {
+                    if kind != Kind::LossOfMany {
+                        self.belief.of_before(false);
+                    } else {
                         self.doubt_workers();
                         // Not within the cold rule's window: what the last life spent in it is not spent again.
                         let window = self.settings.choice.rules.fall_window.unwrap_or_default();
