--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -907,10 +907,7 @@
     let of = first.clone();
     let roster = spawn(any(), move |handle, _| Roster::new(handle, of, Duration::ZERO, None)).unwrap();
     let state = stage.folder.path().join("state");
-    let more = format!(
-        "[roster]\nurl = \"http://{}/workers/1\"\nstream = true\nevery = \"100ms\"\n",
-        roster.address
-    );
+    let more = format!("[roster]\nurl = \"http://{}/workers/1\"\nevery = \"60s\"\n", roster.address);
     let gateway = stage.gateway_with(&format!("state = \"{}\"", state.display()), &more);
     stage.wait("the list", |_| (gateway.invoke("echo", "{}").status == 200).then_some(()));
     stage.wait("the saved list", |_| saved::last(&state, saved::WORKERS).ok().flatten().map(drop));
@@ -922,8 +919,10 @@
         .for_each(|one| roster.tell(roster::Command::Set(Listed { state: gone, ..one.clone() })));
     let file = stage.folder.path().join("gateway.toml");
     let gateway = Gateway::start_on(&file, &["--boot", "anew"]);
-    let told = saved::last(&state, saved::WORKERS).unwrap().unwrap();
-    stage.wait("the list after it", |_| (saved::last(&state, saved::WORKERS).ok()?? != told).then_some(()));
+    // One list comes in this time, and is believed as it is.
+    let only_one = |bytes: Vec<u8>| (!String::from_utf8_lossy(&bytes).contains(&workers[1])).then_some(());
+    stage
+        .wait("the list after it", |_| saved::last(&state, saved::WORKERS).ok().flatten().and_then(only_one));
     for n in 0..20 {
         gateway.invoke("echo", &format!("{{\"key\": \"after-{n}\"}}"));
     }
