Stand-in workers forget the mark of a call that was dropped before it ran

What the load of that function waited for was not looked into.

Change: a call that is dropped before it ran leaves no mark.

--- a/crates/quartzdrift-lab/src/model.rs
+++ b/crates/quartzdrift-lab/src/model.rs
@@ -444,10 +444,10 @@
         self.work_on();
     }
 
-    /// The caller gave up.
-    pub fn cancel(&mut self, now: Duration, call: u64) {
+    /// The caller gave up. Whether the work was dropped with it.
+    pub fn cancel(&mut self, now: Duration, call: u64) -> bool {
         self.advance(now);
-        let Some(of) = self.calls.get_mut(&call) else { return };
+        let Some(of) = self.calls.get_mut(&call) else { return false };
         match of.copy {
             // Work that waits is dropped; work that runs may go on.
             None => {
@@ -463,6 +463,7 @@
                 }
             }
         }
+        !self.calls.contains_key(&call)
     }
 
     fn release(&mut self, copy: u64) {
--- a/crates/quartzdrift-lab/src/worker.rs
+++ b/crates/quartzdrift-lab/src/worker.rs
@@ -239,9 +239,13 @@
         met
     }
 
-    /// What was not taken did not run: its mark is met the next time.
     fn not_taken(&mut self, id: u64) {
         self.see(Seen::Refused { worker: self.address.to_string(), life: self.life, call: id });
+        self.forget(id);
+    }
+
+    /// What did not run has no mark: it is met the next time.
+    fn forget(&mut self, id: u64) {
         let mark = self.open.get(&id).and_then(|open| open.mark.as_ref());
         if let (Some(marks), Some(mark)) = (&self.config.marks, mark) {
             marks.lock().unwrap_or_else(PoisonError::into_inner).remove(mark);
@@ -450,7 +454,9 @@
                 self.held_back.retain(|(_, held, ..)| *held != id);
                 if !self.faults.hang {
                     let now = self.now();
-                    self.model.cancel(now, id);
+                    if self.model.cancel(now, id) {
+                        self.forget(id);
+                    }
                     self.act();
                 }
             }
