Recovery read again: one place for what was written twice, dead code out

- The state folder's lock is the store's Folder, which locks the same file.
- When the module is told what was measured before a loss is decided in quartzdrift-recovery; gateway and emulator had each their own moment.
- Deferred jobs of before come back by one way.
A gateway without a fleet took another, which left out that an outage told by the wall clock alone does not age them, as the design note says: that is mended with it.
No test of its own.
- A start is noted on disk once, not again where its number stays; the mark's news follow by the saver.
- Datagrams of topics leave by the fleet's one way out.
- A job's answer and a turn of the loop at full service no longer pay for the stages.

--- a/crates/quartzdrift-deferred/src/queue.rs
+++ b/crates/quartzdrift-deferred/src/queue.rs
@@ -199,8 +199,9 @@
         &mut self.store
     }
 
-    /// Takes a job back from a store that is `after` what. One that was out may have run: it is tried again where that is harmless, in its
-    /// window where workers know it, and is over elsewhere. Bounds are those of the time when it was taken.
+    /// Takes a job back from a store; `after` tells what lies between. One that was out may have run: it is tried again where
+    /// that is harmless, in its window where workers know it, and is over elsewhere. Bounds are those of the time when it was
+    /// taken.
     pub fn restore(&mut self, now: Duration, kept: Kept, after: After) -> Option<Step> {
         let Kept { id, job, taken, due, tries, confined, out } = kept;
         self.drawn = self.drawn.max(id.0);
@@ -325,8 +326,8 @@
         }
         held.due = at;
         let customer = held.job.customer;
-        self.due.entry(customer).or_default().insert((at, id));
         self.store.waits(id, at, held.tries, held.confined);
+        self.waits_from(customer, at, id);
         Some(Step::Again { at })
     }
 
--- a/crates/quartzdrift-lab/src/emulate/mod.rs
+++ b/crates/quartzdrift-lab/src/emulate/mod.rs
@@ -707,8 +707,10 @@
             return;
         }
         self.schedulers[s].planned = None;
-        self.return_due(s);
-        self.fleet_changed(s);
+        if self.variant.recovery {
+            self.return_due(s);
+            self.fleet_changed(s);
+        }
         let (now, scheduler) = (self.now, &mut self.schedulers[s]);
         if let Some(desk) = &mut scheduler.desk {
             desk.due(now);
@@ -760,8 +762,7 @@
         let Some(desk) = &scheduler.desk else { return };
         let ahead = scheduler.ahead.as_ref().and_then(Ahead::next_due);
         let returns = scheduler.returning.machine.as_ref().and_then(quartzdrift_recovery::Recovery::next_due);
-        let tells = scheduler.returning.tell_at;
-        let Some(next) = [desk.next_due(), ahead, returns, tells].into_iter().flatten().min() else { return };
+        let Some(next) = [desk.next_due(), ahead, returns].into_iter().flatten().min() else { return };
         if scheduler.planned.is_none_or(|at| next < at) {
             let life = scheduler.life;
             self.schedulers[s].planned = Some(next);
--- a/crates/quartzdrift-lab/src/emulate/returning.rs
+++ b/crates/quartzdrift-lab/src/emulate/returning.rs
@@ -19,9 +19,8 @@
     pub judged: Option<(Duration, Kind)>,
     since: Duration,
     starts: u32,
-    /// What its desk had measured when it was killed, and when the next one is told.
-    pub measured: Option<Measured>,
-    pub tell_at: Option<Duration>,
+    /// What its desk had measured when it was killed.
+    measured: Option<Measured>,
 }
 
 impl Sim<'_> {
@@ -50,6 +49,7 @@
             longest: LONGEST,
             fingerprints_on_disk: false,
             load_window: Duration::from_secs_f64(self.variant.load_window_s.max(0.0)),
+            fall_window: self.script.fall_window,
             out: 64,
             store: None,
             life: self.drawn,
@@ -77,11 +77,6 @@
             // Deferred jobs are not modelled: there is no backlog.
             machine.backlog_through(now);
         }
-        let returning = &mut self.schedulers[s].returning;
-        let tells = returning.tell_at.take_if(|at| *at <= now).and_then(|_| returning.measured.take());
-        if let (Some(measured), Some(desk)) = (tells, &mut self.schedulers[s].desk) {
-            desk.measured_before(now, measured);
-        }
         self.return_says(s);
     }
 
@@ -96,12 +91,15 @@
                     fleet.members.tell(&to, quartzdrift_recovery::RECOVERY, bytes);
                 }
                 (Output::Judged(verdict), _) => {
-                    if verdict.kind == Kind::LossOfMany && verdict.disk == Disk::Whole {
-                        scheduler.returning.tell_at =
-                            Some(scheduler.returning.since + self.script.fall_window);
-                    }
                     scheduler.returning.judged = Some((self.now - scheduler.returning.since, verdict.kind));
                 }
+                (Output::TellMeasured, _) => {
+                    if let (Some(before), Some(desk)) =
+                        (scheduler.returning.measured.take(), &mut scheduler.desk)
+                    {
+                        desk.measured_before(self.now, before);
+                    }
+                }
                 (Output::Tell { .. } | Output::Stage(_), _) => {}
             }
         }
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -253,7 +253,6 @@
                             println!("seed {seed}: {} calls, {} breaches", day.tally.asked, day.broken.len());
                             day.broken.iter().take(3).for_each(|broken| println!("    {broken}"));
                         }
-
                         Err(e) => println!("seed {seed}: {e}"),
                     });
                 bad.iter().for_each(|bad| println!("seed {} is bad:\n{}", bad.seed, bad.what));
--- a/crates/quartzdrift-members/src/members.rs
+++ b/crates/quartzdrift-members/src/members.rs
@@ -213,21 +213,6 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// Datagrams alone of what [`Members::outputs`] gives; the rest waits for it.
-    pub fn outputs_to_send(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
-        let mut send = Vec::new();
-        self.outputs.retain_mut(|output| match output {
-            Output::Send { to, bytes } => {
-                send.push((*to, std::mem::take(bytes)));
-                false
-            }
-            Output::Changed(_) | Output::Refused { .. } | Output::NameTaken { .. } | Output::Told { .. } => {
-                true
-            }
-        });
-        send
-    }
-
     /// All others that are known, whatever is believed of them.
     pub fn others(&self) -> impl Iterator<Item = &Member> {
         self.known.values().map(|known| &known.member)
--- a/crates/quartzdrift-recovery/src/moment.rs
+++ b/crates/quartzdrift-recovery/src/moment.rs
@@ -36,13 +36,6 @@
         }
     }
 
-    /// The best guess.
-    pub fn guess(self) -> Duration {
-        match self {
-            Age::Told(age) | Age::Claimed(age) | Age::AtLeast(age) => age,
-        }
-    }
-
     /// What has surely passed.
     pub fn surely(self, now: &Moment) -> Duration {
         match self {
@@ -50,11 +43,6 @@
             Age::Claimed(age) => age.min(now.since_boot),
         }
     }
-
-    /// Whether `span` may not have passed yet; where the age is not told it may not.
-    pub fn may_be_within(self, span: Duration, now: &Moment) -> bool {
-        self.surely(now) < span
-    }
 }
 
 impl Moment {
@@ -97,7 +85,6 @@
         }
         let ahead = at(11 * HOUR, "b", 20);
         let age = Age::between(&before, &ahead);
-        assert!(age.may_be_within(s(30), &ahead) && !age.may_be_within(s(20), &ahead));
-        assert_eq!(age.guess(), s(HOUR));
+        assert_eq!((age, age.surely(&ahead)), (Age::Claimed(s(HOUR)), s(20)));
     }
 }
--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -1,5 +1,6 @@
 //! The state machine from a start to full service.
 use crate::backlog::Backlog;
+use crate::moment::Age;
 use crate::start::{Disk, Found, Heard, Kind, Mark, Verdict, judge};
 use crate::topics::{About, Said, Unread};
 use crate::trust::{Belief, Thing, beliefs, repeats_known, waiting_in_doubt};
@@ -60,6 +61,8 @@
     pub fingerprints_on_disk: bool,
     /// The ration's window: loads ahead begin no sooner after the last life.
     pub load_window: Duration,
+    /// The cold rule's window: nothing that was measured before is told within it.
+    pub fall_window: Duration,
     /// Deferred jobs out at a time, as the settings tell.
     pub out: usize,
     /// The start that last opened the store of deferred jobs, as noted there.
@@ -77,6 +80,8 @@
     /// What kind of start this is; said once.
     Judged(Verdict),
     Stage(Stage),
+    /// The decision module may be told what was measured before the loss.
+    TellMeasured,
 }
 
 /// What operators see.
@@ -144,6 +149,8 @@
     back_at: Option<Duration>,
     /// No load ahead before: another life's ration may be spent.
     ration_until: Duration,
+    /// When what was measured before a loss may be told: what the last life spent on cold workers is not spent again.
+    tell_at: Option<Duration>,
     backlog: Backlog,
     stopped: bool,
     outputs: Vec<Output>,
@@ -156,12 +163,8 @@
         let mut known = found.known.clone();
         known.truncate(ASKED_MOST);
         let asked = known.into_iter().map(|name| (name, Asked::default())).collect();
-        let empty = found.disk == Disk::Empty;
-        let ration = match found.age() {
-            // A mark is noted now and then: the last life may have gone on after it, but not into this one.
-            _ if empty => Duration::ZERO,
-            Some(_) | None => settings.load_window,
-        };
+        // A mark is noted now and then: the last life may have gone on after it, but not into this one.
+        let ration = if found.disk == Disk::Empty { Duration::ZERO } else { settings.load_window };
         let mut recovery = Recovery {
             backlog: Backlog::new(now, settings.out),
             begun: now,
@@ -177,6 +180,7 @@
             // Of the future it cannot be: the clock could not be told then.
             back_at: mark.back_at.map(|at| at.min(now)),
             ration_until: now + ration,
+            tell_at: None,
             stopped: false,
             outputs: Vec::new(),
             settings,
@@ -316,6 +320,7 @@
         self.starts = self.starts.max(verdict.latest + 1);
         if verdict.kind == Kind::LossOfMany {
             self.back_at = Some(self.begun);
+            self.tell_at = (verdict.disk == Disk::Whole).then(|| now + self.settings.fall_window);
         }
         let staged = verdict.kind == Kind::LossOfMany && !verdict.others_full;
         self.outputs.push(Output::Judged(verdict.clone()));
@@ -337,7 +342,7 @@
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        match self.stage {
+        let stage = match self.stage {
             Stage::Asking => {
                 let again = self
                     .asked
@@ -350,10 +355,14 @@
             Stage::Synchronous | Stage::Backlog => Some(self.backlog.next_due()),
             Stage::Timers => Some(self.look_at),
             Stage::Full => None,
-        }
+        };
+        stage.into_iter().chain(self.tell_at).min()
     }
 
     pub fn due(&mut self, now: Duration) {
+        if self.tell_at.take_if(|at| *at <= now).is_some() {
+            self.outputs.push(Output::TellMeasured);
+        }
         let over = now >= self.begun + self.settings.longest;
         match self.stage {
             Stage::Asking => {
@@ -387,6 +396,19 @@
         self.verdict.as_ref().is_none_or(|verdict| waiting_in_doubt(verdict, self.settings.store))
     }
 
+    /// Whether what was measured before is still to be told, or it is not known yet whether it is.
+    pub fn keeps_measured(&self) -> bool {
+        self.verdict.is_none() || self.tell_at.is_some()
+    }
+
+    /// Of the time that we were away, what the wall clock alone tells of: it may have been set ahead.
+    pub fn away_unproven(&self) -> Duration {
+        match self.found.age() {
+            Some(age @ Age::Claimed(claimed)) => claimed.saturating_sub(age.surely(&self.found.now)),
+            Some(Age::Told(_) | Age::AtLeast(_)) | None => Duration::ZERO,
+        }
+    }
+
     /// The number of this start.
     pub fn starts(&self) -> u64 {
         self.starts
@@ -496,6 +518,7 @@
             longest: S * 60,
             fingerprints_on_disk: false,
             load_window: S * 10,
+            fall_window: S,
             out: 8,
             store: None,
             life: 7,
@@ -519,7 +542,7 @@
     fn stages(of: &mut Recovery) -> Vec<Stage> {
         let stage = |output| match output {
             Output::Stage(stage) => Some(stage),
-            Output::Tell { .. } | Output::Judged(_) => None,
+            Output::Tell { .. } | Output::Judged(_) | Output::TellMeasured => None,
         };
         of.outputs().into_iter().filter_map(stage).collect()
     }
@@ -627,7 +650,7 @@
                     Ok(Said::Answer { yours, .. }) => Some(yours),
                     Ok(Said::Ask { .. }) | Err(_) => None,
                 },
-                Output::Judged(_) | Output::Stage(_) => None,
+                Output::Judged(_) | Output::Stage(_) | Output::TellMeasured => None,
             })
         };
         assert_eq!(yours(&mut other, 3, 30), Some(0));
--- a/crates/quartzdrift/src/gateway/clients.rs
+++ b/crates/quartzdrift/src/gateway/clients.rs
@@ -87,7 +87,6 @@
         let is_retry = head.headers.get("x-quartzdrift-retry").is_some();
         let let_in = self.let_in(function.workload, call.mark.is_some(), is_retry);
         let_in.map_err(|wait| Problem::Busy(Some(wait)))?;
-        let workload = &self.settings.choice.workloads[function.workload as usize];
         // A fingerprinted job that came without a mark is marked by its own identity, for further executions.
         let mark = call.mark.or_else(|| (workload.effect == Effect::Fingerprinted).then(|| id.to_string()));
         let work = Work {
--- a/crates/quartzdrift/src/gateway/fleet.rs
+++ b/crates/quartzdrift/src/gateway/fleet.rs
@@ -268,9 +268,7 @@
     pub(super) fn tell_member(&mut self, to: &str, topic: u8, bytes: Vec<u8>) {
         let Some(fleet) = &mut self.fleet else { return };
         fleet.members.tell(to, topic, bytes);
-        for output in fleet.members.outputs_to_send() {
-            fleet.unsent += u64::from(fleet.socket.send_to(&output.1, output.0).is_err());
-        }
+        self.fleet_changed();
     }
 
     fn save_fleet(&mut self) {
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -6,10 +6,9 @@
 use quartzdrift_choice::interface::{Effect, ListForm, State};
 use quartzdrift_deferred::After;
 use quartzdrift_desk::FinalAnswer;
-use quartzdrift_recovery::{Age, Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings as Told, Stage};
-use quartzdrift_store::Live;
+use quartzdrift_recovery::{Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings as Told, Stage};
+use quartzdrift_store::{Folder, Live};
 use serde::{Deserialize, Serialize};
-use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
 use std::path::Path;
 use std::time::Duration;
@@ -25,22 +24,20 @@
     pub machine: Recovery,
     note_at: Duration,
     force_at: Duration,
-    /// When the decision module is told what was measured before a loss.
-    tell_at: Option<Duration>,
     /// Deferred jobs of before, until it is known what they may do.
     pub held: Vec<Live>,
     /// Held by the process that this state is of; one that takes over gets it once the other has ended.
-    lock: Option<File>,
+    lock: Option<Folder>,
+    /// The number of this start as it is noted.
+    noted: u64,
 }
 
 /// The state folder's lock, unless another process holds it.
-fn lock(folder: &Path) -> io::Result<Option<File>> {
-    std::fs::create_dir_all(folder)?;
-    let file = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join("lock"))?;
-    match file.try_lock() {
-        Ok(()) => Ok(Some(file)),
-        Err(TryLockError::WouldBlock) => Ok(None),
-        Err(TryLockError::Error(e)) => Err(e),
+fn lock(folder: &Path) -> io::Result<Option<Folder>> {
+    match Folder::open(folder) {
+        Ok(held) => Ok(Some(held)),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e),
     }
 }
 
@@ -111,6 +108,7 @@
             longest: settings.recovery.longest,
             fingerprints_on_disk: settings.recovery.fingerprints_on_disk,
             load_window: settings.choice.copies.load_window.unwrap_or_default(),
+            fall_window: settings.choice.rules.fall_window.unwrap_or_default(),
             out: settings.deferred.out,
             store,
             life: self.identity,
@@ -119,15 +117,20 @@
         tracing::info!(disk = ?found.disk, age = ?found.age(), was_clean, "found of before");
         let machine = Recovery::new(told, found, now);
         self.returning =
-            Some(Returning { machine, note_at: now, force_at: now, tell_at: None, held: Vec::new(), lock });
+            Some(Returning { machine, note_at: now, force_at: now, held: Vec::new(), lock, noted: 0 });
         // Noted before anything leaves: whoever starts next knows that this start was.
         self.note_start()
     }
 
-    /// Notes this start's number in both folders, the store's first, and waits until it lasts.
-    fn note_start(&self) -> io::Result<()> {
-        let (Some(returning), Some(folder)) = (&self.returning, &self.settings.state) else { return Ok(()) };
+    /// Notes this start's number in both folders, the store's first, and waits until it lasts; where it is noted it stays.
+    fn note_start(&mut self) -> io::Result<()> {
+        let (Some(returning), Some(folder)) = (&mut self.returning, &self.settings.state) else {
+            return Ok(());
+        };
         let starts = returning.machine.starts();
+        if returning.noted == starts {
+            return Ok(());
+        }
         let unusable = |folder: &Path, e: io::Error| {
             io::Error::new(e.kind(), format!("the start cannot be noted in {}: {e}", folder.display()))
         };
@@ -140,7 +143,9 @@
         }
         let mark =
             serde_json::to_vec(&returning.machine.mark(self.clock.note())).map_err(io::Error::other)?;
-        saved::write(folder, MARK, &mark).map_err(|e| unusable(folder, e))
+        saved::write(folder, MARK, &mark).map_err(|e| unusable(folder, e))?;
+        returning.noted = starts;
+        Ok(())
     }
 
     /// Has the mark for the next start written soon.
@@ -149,8 +154,7 @@
         let (Some(returning), Some(saver)) = (&mut self.returning, &self.saver) else { return };
         returning.note_at = now + NOTE_EVERY;
         // Until the module has been told of it, what an earlier start measured stays.
-        if returning.machine.verdict().is_some()
-            && returning.tell_at.is_none()
+        if !returning.machine.keeps_measured()
             && let Ok(bytes) = postcard::to_stdvec(self.desk.measured())
         {
             saver.save(MEASURED, bytes);
@@ -171,10 +175,7 @@
     pub(super) fn recovery_next(&self) -> Option<Duration> {
         let returning = self.returning.as_ref()?;
         let force = (returning.machine.stage() != Stage::Full).then_some(returning.force_at);
-        [Some(returning.note_at), returning.machine.next_due(), force, returning.tell_at]
-            .into_iter()
-            .flatten()
-            .min()
+        [Some(returning.note_at), returning.machine.next_due(), force].into_iter().flatten().min()
     }
 
     pub(super) fn recovery_due(&mut self, now: Duration) {
@@ -190,11 +191,7 @@
                 returning.machine.force(now);
             }
         }
-        if returning.tell_at.take_if(|at| *at <= now).is_some() {
-            self.tell_measured(now);
-        }
-        let Some(returning) = &mut self.returning else { return };
-        if !self.deferred.is_busy(now) {
+        if returning.machine.stage() == Stage::Backlog && !self.deferred.is_busy(now) {
             returning.machine.backlog_through(now);
         }
         let notes = returning.note_at <= now;
@@ -222,32 +219,26 @@
                         self.belief.of_before(false);
                     } else {
                         self.doubt_workers();
-                        // Not within the cold rule's window: what the last life spent in it is not spent again.
-                        let window = self.settings.choice.rules.fall_window.unwrap_or_default();
-                        let at = (disk == Disk::Whole).then(|| self.now() + window);
-                        if let Some(returning) = &mut self.returning {
-                            returning.tell_at = at;
-                        }
                     }
                     self.restore_held();
                 }
                 Output::Stage(stage) => {
                     tracing::info!(%stage, "service returns");
-                    self.allow_deferred();
                     self.note_mark();
                 }
+                Output::TellMeasured => self.tell_measured(),
             }
         }
         self.allow_deferred();
     }
 
     /// The decision module's budget for cold workers is what it measured of warm ones: before the loss they did so much.
-    fn tell_measured(&mut self, now: Duration) {
+    fn tell_measured(&mut self) {
         let otherwise = "what was measured before cannot be read; it begins anew";
         let saved = saved::found(self.settings.state.as_deref(), MEASURED, otherwise);
         match saved.map(|bytes| postcard::from_bytes(&bytes)) {
             Some(Ok(before)) => {
-                self.desk.measured_before(now, before);
+                self.desk.measured_before(self.now(), before);
                 self.carry_out();
             }
             Some(Err(e)) => tracing::warn!(error = %e, "what was measured before is set aside"),
@@ -272,11 +263,7 @@
         let held = std::mem::take(&mut returning.held);
         let machine = &returning.machine;
         let after = After { repeats_known: machine.repeats_known(), older: machine.waiting_in_doubt() };
-        // An outage that only the wall clock tells of does not age them: that clock may have been set ahead.
-        let unproven = match machine.found().age() {
-            Some(age @ Age::Claimed(claimed)) => claimed.saturating_sub(age.surely(&machine.found().now)),
-            Some(Age::Told(_) | Age::AtLeast(_)) | None => Duration::ZERO,
-        };
+        let unproven = machine.away_unproven();
         self.restore(held, after, unproven);
     }
 
@@ -299,11 +286,11 @@
     /// A job had its final answer.
     pub(super) fn job_answered(&mut self, work: &Work, answer: FinalAnswer) {
         let now = self.now();
-        let target =
-            self.settings.choice.workloads[work.workload as usize].start_target.unwrap_or(TARGET_UNTOLD);
         let Some(returning) = self.returning.as_mut().filter(|of| of.machine.stage() != Stage::Full) else {
             return;
         };
+        let of = &self.settings.choice.workloads[work.workload as usize];
+        let target = of.start_target.unwrap_or(TARGET_UNTOLD);
         let finished = answer == FinalAnswer::Finished;
         if matches!(work.origin, Origin::Client(_)) && answer != FinalAnswer::Expired {
             returning.machine.answered(finished && now.saturating_sub(work.taken) <= target);
--- a/crates/quartzdrift/src/gateway/store.rs
+++ b/crates/quartzdrift/src/gateway/store.rs
@@ -68,13 +68,8 @@
         tracing::info!(jobs, took = ?start.elapsed(), "deferred jobs read from the store");
         match &mut self.returning {
             // Until it is known what they may do, they stay where they are.
-            Some(returning) if returning.machine.verdict().is_none() => returning.held = live,
-            Some(_) | None => {
-                let machine = self.returning.as_ref().map(|returning| &returning.machine);
-                let repeats_known = machine.is_none_or(|machine| machine.repeats_known());
-                let older = machine.is_some_and(|machine| machine.waiting_in_doubt());
-                self.restore(live, After { repeats_known, older }, Duration::ZERO);
-            }
+            Some(returning) => returning.held = live,
+            None => self.restore(live, After { repeats_known: true, older: false }, Duration::ZERO),
         }
         Ok(())
     }
--- a/crates/quartzdrift/src/main.rs
+++ b/crates/quartzdrift/src/main.rs
@@ -220,18 +220,27 @@
     let (Some(folder), Some(_)) = (&settings.state, &settings.fleet) else {
         return fail("the settings need [fleet] and gateway.state, where the gateway tells what it sees");
     };
-    let view = match saved::last(folder, saved::MEMBERS) {
-        Ok(Some(bytes)) => serde_json::from_slice::<View>(&bytes),
-        Ok(None) => return fail("no gateway has run with this state yet"),
-        Err(e) => return fail(&format!("{}: {e}", folder.display())),
-    };
-    match view {
-        Ok(view) => {
-            let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-            print!("{}", view.table(now));
-            ExitCode::SUCCESS
-        }
-        Err(e) => fail(&format!("what was saved of the members cannot be read: {e}")),
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    show(folder, saved::MEMBERS, "what was saved of the members", |view: View| view.table(now))
+}
+
+/// Prints one thing that a gateway saves as it runs; `what` names it where it cannot be read.
+fn show<T: serde::de::DeserializeOwned>(
+    folder: &std::path::Path,
+    name: &str,
+    what: &str,
+    table: impl Fn(T) -> String,
+) -> ExitCode {
+    match saved::last(folder, name) {
+        Ok(Some(bytes)) => match serde_json::from_slice(&bytes) {
+            Ok(view) => {
+                print!("{}", table(view));
+                ExitCode::SUCCESS
+            }
+            Err(e) => fail(&format!("{what} cannot be read: {e}")),
+        },
+        Ok(None) => fail("no gateway has run with this state yet"),
+        Err(e) => fail(&format!("{}: {e}", folder.display())),
     }
 }
 
@@ -246,17 +255,8 @@
             Err(e) => fail(&format!("{}: {e}", folder.display())),
         };
     }
-    match saved::last(folder, saved::STAGES) {
-        Ok(Some(bytes)) => match serde_json::from_slice::<quartzdrift_recovery::View>(&bytes) {
-            Ok(view) => {
-                print!("{}", view.table());
-                ExitCode::SUCCESS
-            }
-            Err(e) => fail(&format!("what was noted of the start cannot be read: {e}")),
-        },
-        Ok(None) => fail("no gateway has run with this state yet"),
-        Err(e) => fail(&format!("{}: {e}", folder.display())),
-    }
+    let what = "what was noted of the start";
+    show(folder, saved::STAGES, what, |view: quartzdrift_recovery::View| view.table())
 }
 
 fn fail(what: &str) -> ExitCode {
