--- a/crates/quartzdrift-lab/src/emulate/fleet.rs
+++ b/crates/quartzdrift-lab/src/emulate/fleet.rs
@@ -9,12 +9,12 @@
 /// From its start on a scheduler has so long to find the others, before the number it counts is judged.
 const FIND: Duration = Duration::from_secs(10);
 /// Of the share in time before, what a restarted scheduler has to reach; over how long that is looked at, in which steps.
-const RECOVERED: f64 = 0.95;
-const WINDOW: Duration = Duration::from_secs(1);
-const STEP: Duration = Duration::from_millis(250);
-const BEFORE: Duration = Duration::from_secs(10);
+pub(super) const RECOVERED: f64 = 0.95;
+pub(super) const WINDOW: Duration = Duration::from_secs(1);
+pub(super) const STEP: Duration = Duration::from_millis(250);
+pub(super) const BEFORE: Duration = Duration::from_secs(10);
 /// A restart that is not recovered from by then counts as this.
-const LOOK_FOR: Duration = Duration::from_secs(30);
+pub(super) const LOOK_FOR: Duration = Duration::from_secs(30);
 
 /// What the emulator keeps of a scheduler as a member.
 pub(super) struct Fleet {
@@ -36,10 +36,9 @@
 #[derive(Default)]
 pub(super) struct Deaths {
     killed: Vec<Killed>,
-    restarted: Vec<(usize, Duration, Duration)>,
+    /// Which, when it was killed, and when it was started again.
+    pub restarted: Vec<(usize, Duration, Duration)>,
     false_dead: u64,
-    /// When power first went.
-    pub power_off: Option<Duration>,
     pub bytes: u64,
     told_least: Option<f64>,
     told_most: f64,
@@ -224,7 +223,7 @@
         self.figures.judged_lost = lost as f64 / self.schedulers.len() as f64;
         let most = judged.iter().map(|(took, _)| *took).max().unwrap_or_default();
         self.figures.judged_most_s = most.as_secs_f64();
-        self.figures.power_back_s = self.power_back().as_secs_f64();
+        self.power_figures();
         let restarts = std::mem::take(&mut self.deaths.restarted);
         let times = restarts.iter().map(|(s, killed, at)| self.recovered(*s, *killed, *at).as_secs_f64());
         self.figures.recovered_s = mean(times.collect());
@@ -233,7 +232,7 @@
     }
 
     /// Of the calls of this time, to one scheduler or to all, the share that was finished in time; `None`: there were none.
-    fn share(&self, s: Option<usize>, from: Duration, to: Duration) -> Option<f64> {
+    pub(super) fn share(&self, s: Option<usize>, from: Duration, to: Duration) -> Option<f64> {
         let gateways = self.schedulers.len();
         let first = self.arrivals.partition_point(|a| START + crate::traffic::at(a) < from);
         let of =
@@ -247,25 +246,6 @@
         (all > 0).then(|| f64::from(good) / f64::from(all))
     }
 
-    /// From the first start after the last loss of power until calls to all were in time as often as before it, for good.
-    fn power_back(&self) -> Duration {
-        let Some(off) = self.deaths.power_off else { return Duration::ZERO };
-        let restarts = &self.deaths.restarted;
-        let last = restarts.iter().map(|(_, killed, _)| *killed).max().unwrap_or(off);
-        let back = restarts.iter().filter(|(_, killed, _)| *killed == last).map(|(.., at)| *at).min();
-        let Some(back) = back else { return LOOK_FOR };
-        let before = self.share(None, off.saturating_sub(BEFORE), off).unwrap_or(1.0);
-        let end = (START + self.script.length).saturating_sub(WINDOW);
-        let (mut from, mut since) = (back, back);
-        while from < end {
-            if self.share(None, from, from + WINDOW).is_some_and(|share| share < before * RECOVERED) {
-                since = from + STEP;
-            }
-            from += STEP;
-        }
-        since - back
-    }
-
     /// How long after its restart calls to a scheduler were in time as often as before it was killed.
     fn recovered(&self, s: usize, killed: Duration, at: Duration) -> Duration {
         let share = |from: Duration, to: Duration| self.share(Some(s), from, to);
