Module: jobs wait for their homes where most workers are cold or most jobs wait for loads

A job whose home had no cold budget left, held seven jobs that waited for loads, or whose load the store had turned away was loaded at another worker. Change: homes are drawn before bound and cold budget where most offers are spent or most own jobs wait for loads; a failed load ends a job's tries.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -19,6 +19,7 @@
 const BINS: usize = 34; // the last begins past 4 minutes, longer than time limits
 const HALVE_AT: u32 = 200; // counts: some seconds of one scheduler's traffic
 const ENOUGH: u32 = 8; // counts below which a histogram says nothing
+const LEAN_LEAST: usize = 4; // own jobs out below which it says nothing how many wait for loads
 const RATE_HALF: Duration = Duration::from_secs(4); // in which the mean rate forgets half: many executions
 const BOUND_LEAST: f64 = 7.0; // estimated jobs, the overload bound's least: a few cores' worth
 const BOUND_RATIO: f64 = 2.0; // of the bound to the mean of all: twice the mean is far outside chance
@@ -100,8 +101,7 @@
     window: Duration,
     importance: f64,
     start_target: Duration,
-    /// Patience before anything was measured. Guards against work that is given up each time, since it takes
-    /// longer than our guess, and so is never measured.
+    /// Patience before anything was measured: no less than work may take, or it would never be measured.
     blind: Duration,
     /// What executions took that found a copy, and those that had to load.
     quick: Histogram,
@@ -210,9 +210,10 @@
     fn offer(&mut self, call: &Call, now: Duration, figures: &Figures) -> Option<Offer> {
         self.apart = Duration::from_secs_f64((SHUN_JOBS / call.fair_rate).min(SHUN_SILENT.as_secs_f64()));
         let strange = call.confined.is_some_and(|(group, ran)| !self.listing.shares(group, &ran));
-        if self.listing.state != State::Up || strange || !self.cold_room(call, now, figures) {
+        if self.listing.state != State::Up || strange {
             return None;
         }
+        let spent = !self.cold_room(call, now, figures);
         let mark = self.marks.get(&call.function).copied().unwrap_or_default();
         let ranks = [(mark.known, Status::Known), (mark.assumed, Status::Assumed)];
         let status = ranks.iter().find(|(until, _)| *until > now).map_or(Status::NotWarm, |r| r.1);
@@ -224,12 +225,11 @@
         let working = self.out.iter().filter(stood).count();
         let (own, ghosts) = (self.out.len(), self.ghosts.len());
         let turned = self.turned.get(&call.customer).is_some_and(|&until| until > now);
-        Some(Offer { worker: self.ix, status, others, own, working, ghosts, stands, ill, turned })
+        Some(Offer { worker: self.ix, status, others, own, working, ghosts, stands, ill, turned, spent })
     }
 
-    /// Guards against a cold worker pushed over by all schedulers at once: each sends it at most its own
-    /// fair share of what a cold worker can surely do, so that the sum is safe however traffic is split.
-    /// A share of less than a job is rounded by chance, anew each half window: one job each would be many.
+    /// Guards against a cold worker pushed over by all schedulers at once: each sends its share of what it
+    /// surely can at most, less than a job rounded by chance anew each half window: one each would be many.
     fn cold_room(&mut self, call: &Call, now: Duration, figures: &Figures) -> bool {
         let Some(since) = self.cold_since else { return true };
         let (age, half) = (now.saturating_sub(since), figures.cold_half);
@@ -256,8 +256,7 @@
         now < health.shunned_until || now < self.full_until || health.shuns > 0 && (out || !call.risks)
     }
 
-    /// Guards against workers that take jobs and answer none: with several functions overdue and no answer
-    /// since, it is not one long load, and what may run again is called off to be run elsewhere.
+    /// Guards against workers that answer none: with several functions overdue it is not one long load.
     fn silent(&mut self, now: Duration, post: &mut Post<Note>) {
         let overdue = |out: &&Execution| now.saturating_sub(out.sent.max(self.heard)) > out.patience;
         let mut late = self.out.iter().filter(overdue);
@@ -317,8 +316,7 @@
             }
             Outcome::Miss => *mark = Mark::default(),
             Outcome::Cancelled | Outcome::TimedOut => {
-                // Guards against silent workers that are met rarely: time was up after longer than nearly all
-                // take and nothing was heard since. Clients in a hurry prove nothing.
+                // Guards against silent workers that are met rarely. Clients in a hurry prove nothing.
                 let waited = (now - execution.sent).mul_f64(PATIENCE) > execution.patience;
                 if ending.outcome == Outcome::TimedOut && self.heard < execution.sent && waited {
                     health.shun(now, self.apart);
@@ -368,15 +366,13 @@
     /// By kind of machine: executions that found a copy, and their times against their workload's mean.
     done: Shares,
     took: Shares,
-    /// The most finished a second and the most workers up, what workers can surely do also in a jam: the
-    /// fleet's and, by kind of machine, that of workers alike.
+    /// What workers surely do, in a jam too, of all and by kind: the most finished a second, by the most up.
     pub measured: Measured,
     /// Each customer's part of what all may ask.
     parts: Vec<f64>,
     drawn: u64,
     workers: Vec<Worker>,
-    /// Those that the list names, who are called for offers; the others could only decline, and a fleet that
-    /// is replaced leaves ever more of them.
+    /// Those that the list names, who are called for offers: a replaced fleet leaves ever more of the others.
     listed: Vec<usize>,
     relist: bool,
     worker_names: Names,
@@ -654,6 +650,7 @@
                 job.may_have_run.get_or_insert((worker, sent));
             }
             Outcome::Full => job.fulls += u32::from(!ending.room),
+            Outcome::Miss if ending.found == Found::LoadFailed => job.fulls = FULLS_MOST, // loads elsewhere fail too
             Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => {}
         }
         if over {
@@ -711,8 +708,8 @@
         self.waiting = self.listed.len();
         for &ix in &self.listed {
             // Guards against a small cold worker pushed over by what the mean of larger ones takes.
-            let (cold, kind) = (self.workers[ix].cold_since.is_some(), self.workers[ix].listing.kind);
-            let fair_rate = if cold { fair_rate.min(self.can_do(Some(kind))) } else { fair_rate };
+            let own = Some(self.workers[ix].listing.kind).filter(|_| self.workers[ix].cold_since.is_some());
+            let fair_rate = fair_rate.min(self.can_do(own));
             self.post.put(ix + 1, Note::Call(Call { fair_rate, ..call }));
         }
     }
@@ -727,6 +724,8 @@
     fn choose(&mut self, id: JobId, call: Call) {
         let mut offers = std::mem::take(&mut self.offers);
         let Some(job) = self.jobs.get(&id) else { return };
+        let cold = offers.iter().filter(|o| o.spent).count() * 2 > offers.len();
+        offers.retain(|o| cold || !o.spent);
         let ill = offers.iter().filter(|o| o.ill).count();
         if ill as f64 <= ILL_MOST * offers.len() as f64 {
             offers.retain(|o| !o.ill);
@@ -751,7 +750,8 @@
         // Reports count others' jobs that wait for loads and fill no core: ours tell how many do.
         let busy = if self.figures.counts { mean * working as f64 / own.max(1) as f64 } else { mean };
         let bound = (mean * BOUND_RATIO).max(BOUND_LEAST * self.size());
-        offers.retain(|o| jobs(o) < bound);
+        let lean = cold || own >= LEAN_LEAST && working * 2 < own;
+        offers.retain(|o| lean || jobs(o) < bound);
         // Each scheduler sees its own marks only; homes in an order that all agree on count as warm for each
         // of them, as many as the function's share of the work needs. One job tells nothing of popularity.
         let homes = self.homes(job.function, job.lanes, call.weight, offers.len());
@@ -761,9 +761,10 @@
             home.status = if self.figures.tells_warm { Status::Known } else { Status::Assumed };
         }
         let bound_all = BOUND_ALL * self.size() * self.claim(&call);
-        if busy > bound_all {
-            // Guards against load storms: a job sent to load where all are busy only makes them busier.
-            offers.retain(|o| o.status != Status::NotWarm && jobs(o) < bound_all);
+        let bound = if busy > bound_all { bound.min(bound_all) } else { bound };
+        if lean || busy > bound_all {
+            // Guards against load storms: where all are busy, cold or loading, one more load only adds to it.
+            offers.retain(|o| !o.spent && o.status != Status::NotWarm && jobs(o) < bound);
         }
         let chance = |o: &Offer| hash(&(self.figures.seed, self.drawn, o.worker));
         let load = |o: &Offer| (jobs(o) + 1.0) / self.pace(o.worker);
@@ -778,15 +779,13 @@
 
     /// How many homes a function has among so many workers, one job of `less` left out of its popularity.
     fn homes(&self, function: usize, lanes: f64, less: f64, workers: usize) -> usize {
-        let asked = (self.asked.part(function, self.now) - less).max(0.0);
-        let share = asked / self.asked.all(self.now);
+        let share = (self.asked.part(function, self.now) - less).max(0.0) / self.asked.all(self.now);
         let rate = share * self.asked.per_second(self.now) * self.figures.schedulers;
         let most = rate * self.usual() / (HOME_JOBS * lanes);
         1 + (share * HOMES * workers as f64).min(most) as usize
     }
 
-    /// A worker's place in the order for a function that all schedulers agree on, the greatest first.
-    /// Faster kinds of machine come first more often, by as much as they are faster.
+    /// A worker's place in the order that all agree on, greatest first; faster kinds come first more often.
     fn order(&self, function: &str, worker: usize) -> u64 {
         let drawn = place(function, self.workers[worker].home) as f64 / u64::MAX as f64;
         (drawn.powf(1.0 / self.pace(worker)) * u64::MAX as f64) as u64
--- a/crates/quartzdrift-choice/src/notes.rs
+++ b/crates/quartzdrift-choice/src/notes.rs
@@ -62,6 +62,8 @@
     pub stands: bool,
     pub ill: bool,
     pub turned: bool,
+    /// Cold, and it had its part.
+    pub spent: bool,
 }
 
 #[derive(Clone, Copy)]
--- a/crates/quartzdrift-choice/tests/scenarios.rs
+++ b/crates/quartzdrift-choice/tests/scenarios.rs
@@ -10,7 +10,8 @@
 //!     job 7 f left=1s            a job of function f; `workload=`, `customer=` and `mb=` may follow
 //!     jobs 10 40 f g workload=1  jobs 10 to 39, of the functions in turn; with `every=` one after the
 //!                                other, each finished at once, in 300 ms on the kind named by `slow=`
-//!     end 7 finished warm        how its execution ended; `over`, `open` (it is not), `took=`, `held=` may follow
+//!     end 7 finished warm        how its execution ended; `over`, `open` (it is not), `unloadable` (its load failed),
+//!                                `took=`, `held=` may follow
 //!     end-all finished           the same for every execution that is out
 //!     tick, expire 7             the module's timer; the client left
 //!     sent 7 to a                expected among the actions since: also `not a`, or neither
@@ -198,6 +199,7 @@
                 None if *word == "open" => over = false,
                 None if *word == "warm" => found = Found::Warm,
                 None if *word == "began" => found = Found::BeganLoad,
+                None if *word == "unloadable" => found = Found::LoadFailed,
                 Some(("took", value)) => took = span(value)?,
                 Some(("held", value)) => report = vec![Some(number(Some(&value))?)],
                 _ => return Err(format!("no detail of an end: {word}")),
