Recovery: while copies return after a loss, functions are tried once and at a pace

Each scheduler loaded what others had loaded, and asked a store that refused. Members tell each other now what is tried and what stands (topic 1), a window of tries grows with quick loads and halves with failed ones. A loss is taken for one as soon as those who answered prove it, and what was measured is told once the cold rule's window has surely passed. Module: most workers cold, not spent, decides whether jobs wait for their homes.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -213,7 +213,7 @@
         if self.listing.state != State::Up || strange {
             return None;
         }
-        let spent = !self.cold_room(call, now, figures);
+        let (spent, cold) = (!self.cold_room(call, now, figures), self.cold_since.is_some());
         let mark = self.marks.get(&call.function).copied().unwrap_or_default();
         let ranks = [(mark.known, Status::Known), (mark.assumed, Status::Assumed)];
         let status = ranks.iter().find(|(until, _)| *until > now).map_or(Status::NotWarm, |r| r.1);
@@ -223,9 +223,9 @@
         let ill = self.ill(call, now);
         let stood = |o: &&Execution| self.marks.get(&o.call.function).is_some_and(|m| m.stands);
         let working = self.out.iter().filter(stood).count();
-        let (own, ghosts) = (self.out.len(), self.ghosts.len());
+        let (worker, own, ghosts) = (self.ix, self.out.len(), self.ghosts.len());
         let turned = self.turned.get(&call.customer).is_some_and(|&until| until > now);
-        Some(Offer { worker: self.ix, status, others, own, working, ghosts, stands, ill, turned, spent })
+        Some(Offer { worker, status, others, own, working, ghosts, stands, ill, turned, cold, spent })
     }
 
     /// Guards against a cold worker pushed over by all schedulers at once: each sends its share of what it
@@ -650,7 +650,7 @@
                 job.may_have_run.get_or_insert((worker, sent));
             }
             Outcome::Full => job.fulls += u32::from(!ending.room),
-            Outcome::Miss if ending.found == Found::LoadFailed => job.fulls = FULLS_MOST, // loads elsewhere fail too
+            Outcome::Miss if ending.found == Found::LoadFailed => job.fulls = FULLS_MOST, // others load in vain
             Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => {}
         }
         if over {
@@ -724,7 +724,7 @@
     fn choose(&mut self, id: JobId, call: Call) {
         let mut offers = std::mem::take(&mut self.offers);
         let Some(job) = self.jobs.get(&id) else { return };
-        let cold = offers.iter().filter(|o| o.spent).count() * 2 > offers.len();
+        let cold = offers.iter().filter(|o| o.cold).count() * 2 > offers.len();
         offers.retain(|o| cold || !o.spent);
         let ill = offers.iter().filter(|o| o.ill).count();
         if ill as f64 <= ILL_MOST * offers.len() as f64 {
--- a/crates/quartzdrift-choice/src/notes.rs
+++ b/crates/quartzdrift-choice/src/notes.rs
@@ -62,7 +62,8 @@
     pub stands: bool,
     pub ill: bool,
     pub turned: bool,
-    /// Cold, and it had its part.
+    /// Just started, and whether it had its part of what a cold worker may be sent.
+    pub cold: bool,
     pub spent: bool,
 }
 
--- a/crates/quartzdrift-lab/src/emulate/clients.rs
+++ b/crates/quartzdrift-lab/src/emulate/clients.rs
@@ -7,8 +7,16 @@
             self.put(START + traffic::at(next), Ev::Arrive(n + 1));
         }
         let gateway = self.arrivals[n].gateway_of(self.schedulers.len());
-        let client =
-            Client { arrival: n, repeats: 0, gateway, first: self.now, turn: 0, open: false, job: None };
+        let client = Client {
+            arrival: n,
+            repeats: 0,
+            gateway,
+            first: self.now,
+            turn: 0,
+            open: false,
+            job: None,
+            tries: None,
+        };
         self.clients.push(client);
         self.ask(self.clients.len() - 1);
     }
@@ -31,6 +39,16 @@
             return self.again(client, Duration::from_millis(50));
         }
         self.put(self.now + workload.limit + Duration::from_millis(500), Ev::ClientTimeout(client, turn));
+        let (now, life) = (self.now, self.schedulers[s].life);
+        if let Some(machine) = &mut self.schedulers[s].returning.machine {
+            match machine.let_in(now, &arrival.function) {
+                Ok(tries) => self.clients[client].tries = tries.map(|number| (life, number)),
+                Err(wait) => {
+                    let come_back = Some(wait);
+                    return self.answered(client, FinalAnswer::PushedBack { come_back, ran: None });
+                }
+            }
+        }
         let scheduler = &mut self.schedulers[s];
         scheduler.taken.push(self.now);
         if let Some(ahead) = &mut scheduler.ahead {
@@ -68,7 +86,8 @@
             of.gateway = (of.gateway + 1) % self.schedulers.len();
             let at = self.now + after;
             let Client { arrival, repeats, gateway, first, turn, .. } = *of;
-            self.clients.push(Client { arrival, repeats, gateway, first, turn, open: false, job: None });
+            let (open, job, tries) = (false, None, None);
+            self.clients.push(Client { arrival, repeats, gateway, first, turn, open, job, tries });
             let again = self.clients.len() - 1;
             self.put(at, Ev::Again(again));
         }
@@ -92,14 +111,17 @@
         if !std::mem::take(&mut self.clients[client].open) {
             return;
         }
+        let finished = answer == FinalAnswer::Finished;
+        let (took, of) = (self.now - self.clients[client].first, self.clients[client].arrival);
+        let target = self.script.workloads[self.arrivals[of].workload].start_target;
+        self.return_answered(client, finished, finished && took <= target);
         let of = &self.clients[client];
         let arrival = &self.arrivals[of.arrival];
-        let took = self.now - of.first;
         match answer {
             FinalAnswer::Finished => {
                 self.figures.finished += 1;
                 self.waits.push((took.as_secs_f64() * 1000.0 - arrival.work_us as f64 / 1000.0).max(0.0));
-                if took <= self.script.workloads[arrival.workload].start_target {
+                if took <= target {
                     self.in_time.insert(of.arrival);
                 }
             }
--- a/crates/quartzdrift-lab/src/emulate/fleet.rs
+++ b/crates/quartzdrift-lab/src/emulate/fleet.rs
@@ -92,6 +92,10 @@
         let Some(fleet) = &mut self.schedulers[s].fleet else { return };
         fleet.members.packet(now, address(from), bytes);
         self.fleet_changed(s);
+        if self.variant.recovery {
+            // What was told may be news to tell on.
+            self.outputs(s);
+        }
     }
 
     pub(super) fn fleet_changed(&mut self, s: usize) {
--- a/crates/quartzdrift-lab/src/emulate/mod.rs
+++ b/crates/quartzdrift-lab/src/emulate/mod.rs
@@ -69,6 +69,8 @@
     pub members: bool,
     /// Schedulers return to service in stages after they were killed; it takes `members`.
     pub recovery: bool,
+    /// With recovery, calls are let in by a pace while copies return.
+    pub pace: bool,
     /// Schedulers as the settings tell them; 0: as many as there are.
     pub schedulers: u32,
 }
@@ -205,6 +207,8 @@
     turn: u32,
     open: bool,
     job: Option<(usize, u64)>,
+    /// The number of the function that it tries, and in which life of its scheduler.
+    tries: Option<(u64, u32)>,
 }
 
 struct WorkerSim {
--- a/crates/quartzdrift-lab/src/emulate/returning.rs
+++ b/crates/quartzdrift-lab/src/emulate/returning.rs
@@ -7,6 +7,8 @@
 
 /// As the daemon's settings have it where nothing is told.
 const ASK: Duration = Duration::from_secs(2);
+/// From power to the start of a scheduler.
+const BOOT: Duration = Duration::from_secs(2);
 const LONGEST: Duration = Duration::from_secs(300);
 
 /// What the emulator keeps of a scheduler that returns.
@@ -27,7 +29,7 @@
     /// All machines run on the same clock, and one that was killed has started anew.
     fn moment(&self, s: usize) -> Moment {
         let boot = format!("{s}-{}", self.schedulers[s].returning.starts);
-        Moment { wall: self.now, boot, since_boot: Duration::from_millis(1) }
+        Moment { wall: self.now, boot, since_boot: BOOT }
     }
 
     pub(super) fn begin_return(&mut self, s: usize) {
@@ -51,6 +53,7 @@
             load_window: Duration::from_secs_f64(self.variant.load_window_s.max(0.0)),
             fall_window: self.script.fall_window,
             out: 64,
+            pace: self.variant.pace,
             store: None,
             life: self.drawn,
         };
@@ -80,6 +83,19 @@
         self.return_says(s);
     }
 
+    /// A call had its final answer: what its try came to, and whether synchronous work keeps its targets.
+    pub(super) fn return_answered(&mut self, client: usize, finished: bool, kept: bool) {
+        let (now, of) = (self.now, &mut self.clients[client]);
+        let scheduler = &mut self.schedulers[of.gateway];
+        let Some(machine) = &mut scheduler.returning.machine else { return };
+        machine.answered(kept);
+        if let Some((life, number)) = of.tries.take()
+            && life == scheduler.life
+        {
+            machine.tried(now, number, finished);
+        }
+    }
+
     /// Sends what the machine asks and answers; the rest is its own.
     pub(super) fn return_says(&mut self, s: usize) {
         let scheduler = &mut self.schedulers[s];
--- a/crates/quartzdrift-lab/src/emulate/schedulers.rs
+++ b/crates/quartzdrift-lab/src/emulate/schedulers.rs
@@ -155,6 +155,11 @@
         if scheduler.life != life || scheduler.sent.remove(&(job, execution)).is_none() {
             return;
         }
+        if ended.found == Told::LoadFailed
+            && let Some(machine) = &mut scheduler.returning.machine
+        {
+            machine.load_failed(self.now);
+        }
         if ended.outcome == Outcome::Finished && ended.found != Told::Warm {
             self.figures.waited_for_load += 1;
         }
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -216,7 +216,7 @@
     let done = match Arguments::parse().command {
         Command::Demo { listen, workers } => demo(listen, workers),
         Command::Gateway { file, ahead, behind, boot } => {
-            let boot = boot.map(|name| (name, Duration::from_secs(1)));
+            let boot = boot.map(|name| (name, Duration::ZERO));
             clock::set(clock::Set { ahead, behind, boot });
             gateway(&file)
         }
@@ -286,7 +286,8 @@
         }
         Command::Emulate { script, seed, forecasts, members, recovery, trace, write_trace } => {
             let forecasting = if forecasts { emulate::Forecasting::On } else { emulate::Forecasting::Off };
-            let variant = emulate::Variant { forecasting, members, recovery, ..Default::default() };
+            let variant =
+                emulate::Variant { forecasting, members, recovery, pace: recovery, ..Default::default() };
             emulated(script.as_deref(), seed, &variant, trace.as_deref(), write_trace.as_deref())
         }
         Command::Replay { day, gateways, workers, length, seed, emulator } => {
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -696,13 +696,16 @@
         stage.wait("calls at the successor", |seen| (seen.len() > before + 50).then_some(()));
         stop.store(true, std::sync::atomic::Ordering::Relaxed);
         let statuses: Vec<u16> = callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
+        // It is written beside the loop, now and then.
+        stage.wait("the successor's own start", |_| {
+            let bytes = saved::last(&state, saved::STAGES).ok()??;
+            let view: quartzdrift_recovery::View = serde_json::from_slice(&bytes).ok()?;
+            (view.starts == 2 && view.verdict?.kind == quartzdrift_recovery::Kind::Planned).then_some(())
+        });
         drop(successor);
         statuses
     });
     assert!(statuses.len() > 20 && statuses.iter().all(|status| *status == 200), "{statuses:?}");
-    let bytes = saved::last(&state, saved::STAGES).unwrap().unwrap();
-    let view: quartzdrift_recovery::View = serde_json::from_slice(&bytes).unwrap();
-    assert_eq!((view.verdict.unwrap().kind, view.starts), (quartzdrift_recovery::Kind::Planned, 2));
 }
 
 /// Kills a gateway outright again and again while deferred jobs come, and looks at what workers saw.
--- a/crates/quartzdrift-recovery/src/lib.rs
+++ b/crates/quartzdrift-recovery/src/lib.rs
@@ -10,9 +10,11 @@
 //! * `start`: kinds of start, by evidence.
 //! * `trust`: what of each thing kept is believed; the table of docs/design-recovery.md.
 //! * `backlog`: how many deferred jobs are let in.
+//! * `pace`: which functions' calls are let in while copies return.
 //! * `recovery`: the state machine.
 mod backlog;
 mod moment;
+mod pace;
 mod recovery;
 mod start;
 mod topics;
@@ -20,6 +22,7 @@
 
 pub use backlog::Backlog;
 pub use moment::{Age, Moment};
+pub use pace::Copy;
 pub use recovery::{Output, Recovery, Settings, Stage, View};
 pub use start::{Disk, Found, Kind, Mark, Verdict};
 pub use topics::{About, RECOVERY, Said, Unread};
--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -1,7 +1,8 @@
 //! The state machine from a start to full service.
 use crate::backlog::Backlog;
 use crate::moment::Age;
-use crate::start::{Disk, Found, Heard, Kind, Mark, Verdict, judge};
+use crate::pace::Pace;
+use crate::start::{Disk, Found, Heard, Kind, Mark, Verdict, judge, surely_many};
 use crate::topics::{About, Said, Unread};
 use crate::trust::{Belief, Thing, beliefs, repeats_known, waiting_in_doubt};
 use serde::{Deserialize, Serialize};
@@ -65,6 +66,8 @@
     pub fall_window: Duration,
     /// Deferred jobs out at a time, as the settings tell.
     pub out: usize,
+    /// Whether functions' calls are let in by a pace while copies return after a loss.
+    pub pace: bool,
     /// The start that last opened the store of deferred jobs, as noted there.
     pub store: Option<u64>,
     /// Drawn at this start.
@@ -97,6 +100,9 @@
     pub waits_for: Vec<String>,
     /// Deferred jobs that may be out at a time, while they are.
     pub backlog: Option<usize>,
+    /// Functions whose copies are known to stand, those being tried, and tries of ours that may be out at a time.
+    #[serde(default)]
+    pub pace: Option<(usize, usize, f64)>,
 }
 
 impl View {
@@ -119,6 +125,11 @@
         if let Some(backlog) = self.backlog {
             text.push_str(&format!("deferred jobs that may be out at a time: {backlog}\n"));
         }
+        if let Some((stand, tried, window)) = self.pace {
+            text.push_str(&format!(
+                "copies return: {stand} functions stand, {tried} are tried; {window:.2} of our own tries at a time\n"
+            ));
+        }
         text
     }
 }
@@ -151,6 +162,10 @@
     ration_until: Duration,
     /// When what was measured before a loss may be told: what the last life spent on cold workers is not spent again.
     tell_at: Option<Duration>,
+    /// It was told, or is to be.
+    tells: bool,
+    /// While copies return after a loss.
+    pace: Option<Pace>,
     backlog: Backlog,
     stopped: bool,
     outputs: Vec<Output>,
@@ -181,6 +196,8 @@
             back_at: mark.back_at.map(|at| at.min(now)),
             ration_until: now + ration,
             tell_at: None,
+            tells: false,
+            pace: None,
             stopped: false,
             outputs: Vec::new(),
             settings,
@@ -241,10 +258,12 @@
 
     /// A member is there: it is asked.
     pub fn member(&mut self, now: Duration, name: &str) {
+        if self.met.len() < SEEN_MOST {
+            self.met.insert(name.to_owned());
+        }
         if self.verdict.is_some() || !self.asked.contains_key(name) && self.asked.len() >= ASKED_MOST {
             return;
         }
-        self.met.insert(name.to_owned());
         self.asked.entry(name.to_owned()).or_default();
         self.ask(now, name);
     }
@@ -295,6 +314,12 @@
                 }
                 // It may come from one that heard of this very start before: that is no later one.
                 self.judge_if_told(now);
+                self.lost_if_sure(now);
+            }
+            Said::Copies { pieces } => {
+                if let Some(pace) = &mut self.pace {
+                    pace.heard(now, &pieces);
+                }
             }
         }
         Ok(())
@@ -312,15 +337,45 @@
         }
     }
 
+    fn heard(&self) -> Vec<Heard> {
+        self.asked.values().filter_map(|asked| asked.heard.clone()).collect()
+    }
+
+    /// Where those who answered prove a loss, copies return at a pace before all have answered.
+    fn lost_if_sure(&mut self, now: Duration) {
+        let up = now.saturating_sub(self.begun);
+        if self.verdict.is_none()
+            && self.pace.is_none()
+            && surely_many(&self.found, &self.heard(), self.asked.len(), up)
+        {
+            self.lost(now);
+        }
+    }
+
+    /// Many were lost: copies return at a pace, and what was measured before is told once the cold rule's window has passed
+    /// since the last life: it ended before this start, and before the machine's.
+    fn lost(&mut self, now: Duration) {
+        if self.settings.pace && self.pace.is_none() {
+            self.pace = Some(Pace::new(now, self.settings.life));
+        }
+        if !std::mem::replace(&mut self.tells, true) {
+            let off = if self.found.machine_ran() { Duration::ZERO } else { self.found.now.since_boot };
+            self.tell_at = Some(now.max(self.begun + self.settings.fall_window.saturating_sub(off)));
+        }
+    }
+
     fn judge(&mut self, now: Duration) {
-        let heard: Vec<Heard> = self.asked.values().filter_map(|asked| asked.heard.clone()).collect();
+        let heard = self.heard();
         let silent = self.asked.len() - heard.len();
         let verdict = judge(&self.found, &heard, silent, now.saturating_sub(self.begun));
         // A later start that others know of is not to be used again.
         self.starts = self.starts.max(verdict.latest + 1);
         if verdict.kind == Kind::LossOfMany {
             self.back_at = Some(self.begun);
-            self.tell_at = (verdict.disk == Disk::Whole).then(|| now + self.settings.fall_window);
+            self.lost(now);
+        }
+        if verdict.kind != Kind::LossOfMany || verdict.disk != Disk::Whole {
+            self.tell_at = None;
         }
         let staged = verdict.kind == Kind::LossOfMany && !verdict.others_full;
         self.outputs.push(Output::Judged(verdict.clone()));
@@ -333,6 +388,9 @@
     fn enter(&mut self, now: Duration, stage: Stage) {
         (self.stage, self.since) = (stage, now);
         self.look_at = now + TIMERS_FIRST;
+        if stage > Stage::Synchronous {
+            self.pace = None;
+        }
         match stage {
             Stage::Synchronous => self.backlog = Backlog::new(now, self.settings.out),
             Stage::Backlog => self.backlog.begin(),
@@ -356,13 +414,22 @@
             Stage::Timers => Some(self.look_at),
             Stage::Full => None,
         };
-        stage.into_iter().chain(self.tell_at).min()
+        let news = self.pace.as_ref().filter(|_| !self.met.is_empty()).and_then(Pace::next_due);
+        stage.into_iter().chain(self.tell_at).chain(news).min()
     }
 
     pub fn due(&mut self, now: Duration) {
         if self.tell_at.take_if(|at| *at <= now).is_some() {
             self.outputs.push(Output::TellMeasured);
         }
+        if let Some(pace) = &mut self.pace {
+            let members: Vec<&String> = self.met.iter().collect();
+            if let Some((members, pieces)) = pace.tell(now, &members) {
+                let bytes = Said::Copies { pieces }.bytes();
+                let tell = |to| Output::Tell { to, bytes: bytes.clone() };
+                self.outputs.extend(members.into_iter().map(tell));
+            }
+        }
         let over = now >= self.begun + self.settings.longest;
         match self.stage {
             Stage::Asking => {
@@ -427,6 +494,33 @@
         (now < until).then(|| until - now)
     }
 
+    /// Whether a call for this function may become a job now, and the number to tell [`Recovery::tried`] of its end where it is
+    /// a try; else when to come back.
+    pub fn let_in(&mut self, now: Duration, function: &str) -> Result<Option<u32>, Duration> {
+        let Some(pace) = &mut self.pace else { return Ok(None) };
+        // Its lower half: what a collision costs is a load more.
+        let number = xxhash_rust::xxh3::xxh3_64(function.as_bytes()) as u32;
+        let let_in = pace.let_in(now, number).map(|tries| tries.then_some(number));
+        if let_in.is_err() {
+            self.answered(false);
+        }
+        let_in
+    }
+
+    /// The job of a call that was let in as a try has its final answer.
+    pub fn tried(&mut self, now: Duration, number: u32, finished: bool) {
+        if let Some(pace) = &mut self.pace {
+            pace.tried(now, number, finished);
+        }
+    }
+
+    /// A load failed at a worker.
+    pub fn load_failed(&mut self, now: Duration) {
+        if let Some(pace) = &mut self.pace {
+            pace.refused(now);
+        }
+    }
+
     /// Whether a fingerprinted job that was out at the end of the last life may be sent again.
     pub fn repeats_known(&self) -> bool {
         self.verdict
@@ -498,6 +592,7 @@
                 Vec::new()
             },
             backlog: (self.stage == Stage::Backlog).then(|| self.backlog.out()),
+            pace: self.pace.as_ref().map(Pace::view),
         }
     }
 }
@@ -520,6 +615,7 @@
             load_window: S * 10,
             fall_window: S,
             out: 8,
+            pace: true,
             store: None,
             life: 7,
         }
@@ -624,6 +720,36 @@
         );
     }
 
+    #[test]
+    fn who_answers_first_may_prove_a_loss_and_copies_return_at_a_pace_until_service_is_well() {
+        let known: Vec<String> = (0..17).map(|n| format!("m{n}")).collect();
+        let mut of = lost("a", &known.iter().map(String::as_str).collect::<Vec<_>>());
+        assert_eq!(of.let_in(ZERO, "f"), Ok(None), "nothing is known yet");
+        of.told(ZERO, "m1", &answer(S * 900, true)).unwrap();
+        assert!(of.view(ZERO).pace.is_none(), "that one ran on");
+        of.told(ZERO, "m2", &answer(S, false)).unwrap();
+        assert!(of.view(ZERO).pace.is_some() && of.verdict().is_none());
+        // The machine is on for as long as the cold rule's window: the last life spent nothing within it.
+        of.due(ZERO);
+        let measured = |of: &mut Recovery| of.outputs().contains(&Output::TellMeasured);
+        assert!(measured(&mut of));
+        let number = of.let_in(ZERO, "f").unwrap().expect("a try");
+        assert!(of.let_in(ZERO, "f").is_err());
+        of.tried(ZERO + S / 2, number, true);
+        assert_eq!(of.let_in(ZERO + S / 2, "f"), Ok(None));
+        let mut now = ZERO;
+        while of.stage() < Stage::Backlog {
+            now = of.next_due().unwrap().max(now);
+            (0..20).for_each(|_| of.answered(true));
+            of.due(now);
+        }
+        assert!(of.view(now).pace.is_none() && !measured(&mut of), "told once");
+        // One of seventeen that crashed alone meets no pace; nor does one that stopped as planned.
+        let mut one = lost("a", &known.iter().map(String::as_str).collect::<Vec<_>>());
+        known.iter().for_each(|name| one.told(ZERO, name, &answer(S * 900, true)).unwrap());
+        assert!(one.verdict().is_some() && one.let_in(ZERO, "f") == Ok(None) && one.stage() == Stage::Full);
+    }
+
     #[test]
     fn stages_end_by_themselves_or_by_an_operators_word() {
         let mut of = lost("a", &[]);
@@ -648,7 +774,7 @@
             other.outputs().into_iter().find_map(|output| match output {
                 Output::Tell { bytes, .. } => match Said::read(&bytes) {
                     Ok(Said::Answer { yours, .. }) => Some(yours),
-                    Ok(Said::Ask { .. }) | Err(_) => None,
+                    Ok(Said::Ask { .. } | Said::Copies { .. }) | Err(_) => None,
                 },
                 Output::Judged(_) | Output::Stage(_) | Output::TellMeasured => None,
             })
--- a/crates/quartzdrift-recovery/src/start.rs
+++ b/crates/quartzdrift-recovery/src/start.rs
@@ -86,7 +86,7 @@
     }
 
     /// Whether the machine is known to have run all the while.
-    fn machine_ran(&self) -> bool {
+    pub fn machine_ran(&self) -> bool {
         matches!(self.age(), Some(Age::Told(_)))
     }
 }
@@ -170,6 +170,13 @@
     Verdict { kind, disk, answered: heard.len(), lost, silent, others_full, latest }
 }
 
+/// Whether those who answered so far prove that many were lost, whatever the others of `asked` members will say.
+pub fn surely_many(found: &Found, heard: &[Heard], asked: usize, up: Duration) -> bool {
+    let so_far = judge(found, heard, 0, up);
+    let ended = so_far.lost + 1;
+    so_far.kind == Kind::LossOfMany && so_far.lost > 0 && !found.was_clean() && ended * MANY > asked
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/quartzdrift-recovery/src/topics.rs
+++ b/crates/quartzdrift-recovery/src/topics.rs
@@ -2,6 +2,7 @@
 //!
 //! An answer is worth what it proves. `yours` can only rise: an old, doubled or restored member says a lower number, which
 //! changes nothing. Nobody's word makes anything believed; it makes less believed, and what that can cost is bounded.
+use crate::pace::Piece;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -31,6 +32,8 @@
     Ask { me: About },
     /// This is me. Before the start that you told of, the highest of your starts that I know is `yours`; 0: none.
     Answer { me: About, yours: u64 },
+    /// What is known of functions' copies while they return after a loss, each by the number of its name.
+    Copies { pieces: Vec<Piece> },
 }
 
 /// Why a body is not understood.
@@ -66,14 +69,17 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::pace::{Copy, TELL_PIECES};
 
     proptest::proptest! {
         #[test]
         fn what_was_said_is_read_and_any_bytes_are_read_or_refused(
-            starts: u64, life: u64, up_ms: u64, was_clean: bool, full: bool, yours: u64, bytes: Vec<u8>
+            starts: u64, life: u64, up_ms: u64, was_clean: bool, full: bool, yours: u64, functions: [u32; TELL_PIECES],
+            bytes: Vec<u8>
         ) {
             let me = About { starts, life, up_ms, was_clean, full };
-            for said in [Said::Ask { me: me.clone() }, Said::Answer { me, yours }] {
+            let pieces = functions.iter().map(|of| (*of, Copy::Tried)).collect();
+            for said in [Said::Ask { me: me.clone() }, Said::Answer { me, yours }, Said::Copies { pieces }] {
                 proptest::prop_assert!(said.bytes().len() <= BYTES_MOST);
                 proptest::prop_assert_eq!(Said::read(&said.bytes()), Ok(said));
             }
--- a/crates/quartzdrift/src/gateway/clients.rs
+++ b/crates/quartzdrift/src/gateway/clients.rs
@@ -89,6 +89,8 @@
         let_in.map_err(|wait| Problem::Busy(Some(wait)))?;
         // A fingerprinted job that came without a mark is marked by its own identity, for further executions.
         let mark = call.mark.or_else(|| (workload.effect == Effect::Fingerprinted).then(|| id.to_string()));
+        let streams = workload.streams;
+        let tries = self.paced(&name).map_err(|wait| Problem::Busy(Some(wait)))?;
         let work = Work {
             id,
             origin: Origin::Client(exchange),
@@ -96,9 +98,10 @@
             context: call.context,
             mark,
             customer: customer.1,
-            streams: workload.streams,
+            streams,
             workload: function.workload,
             taken: self.now(),
+            tries,
         };
         self.note_use(&name, &function, customer.0, left);
         let new = new_job(&function, name.into(), customer.0, left, is_retry, Rc::new(work));
--- a/crates/quartzdrift/src/gateway/fronts.rs
+++ b/crates/quartzdrift/src/gateway/fronts.rs
@@ -112,6 +112,7 @@
             streams: false,
             workload: function.workload,
             taken: self.now(),
+            tries: None,
         };
         let left = left.map_or(limit, |left| left.min(limit));
         self.note_use(&job.function, &function, job.customer, left);
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -54,6 +54,8 @@
     pub streams: bool,
     pub workload: u32,
     pub taken: Duration,
+    /// Its function's number, where it tries whether the store bears the load after a loss.
+    pub tries: Option<u32>,
 }
 
 /// What a call of ours is for.
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -110,6 +110,7 @@
             load_window: settings.choice.copies.load_window.unwrap_or_default(),
             fall_window: settings.choice.rules.fall_window.unwrap_or_default(),
             out: settings.deferred.out,
+            pace: settings.recovery.pace,
             store,
             life: self.identity,
         };
@@ -283,9 +284,26 @@
         wait.map_or(Ok(()), Err)
     }
 
+    /// Whether a call for this function may become a job while copies return, and the number it tries; else when to come back.
+    pub(super) fn paced(&mut self, function: &str) -> Result<Option<u32>, Duration> {
+        let now = self.now();
+        self.returning.as_mut().map_or(Ok(None), |returning| returning.machine.let_in(now, function))
+    }
+
+    /// A load failed at a worker: the store bears less.
+    pub(super) fn load_failed(&mut self) {
+        let now = self.now();
+        if let Some(returning) = &mut self.returning {
+            returning.machine.load_failed(now);
+        }
+    }
+
     /// A job had its final answer.
     pub(super) fn job_answered(&mut self, work: &Work, answer: FinalAnswer) {
         let now = self.now();
+        if let (Some(number), Some(returning)) = (work.tries, &mut self.returning) {
+            returning.machine.tried(now, number, answer == FinalAnswer::Finished);
+        }
         let Some(returning) = self.returning.as_mut().filter(|of| of.machine.stage() != Stage::Full) else {
             return;
         };
--- a/crates/quartzdrift/src/gateway/workers.rs
+++ b/crates/quartzdrift/src/gateway/workers.rs
@@ -1,7 +1,7 @@
 //! Executions, orders and probes on workers' sockets. What an end on a socket proves is the table in
 //! `quartzdrift_invoke::verdict`.
 use super::{Gateway, NOT_SENT, Origin, Use, Work};
-use quartzdrift_choice::interface::{JobId, Outcome};
+use quartzdrift_choice::interface::{Found, JobId, Outcome};
 use quartzdrift_desk::Ended;
 use quartzdrift_http::{CallId, Failure, Headers, Outgoing, Response};
 use quartzdrift_invoke::orca::{self, Report};
@@ -105,6 +105,9 @@
         let report = answer.as_ref().map(Self::report).unwrap_or_default();
         let (found, crowd) = (verdict::found(&report), verdict::crowd(&report));
         let ended = Ended { outcome, found, crowd, report: self.figures(&report) };
+        if found == Found::LoadFailed {
+            self.load_failed();
+        }
         tracing::trace!(job, execution, ?outcome, "execution ended");
         self.in_hand = answer.filter(|_| outcome == Outcome::Finished);
         self.desk.ended(self.now(), job, execution, ended);
--- a/crates/quartzdrift/src/settings/check.rs
+++ b/crates/quartzdrift/src/settings/check.rs
@@ -155,6 +155,7 @@
             ask: raw.recovery.ask.0,
             longest: raw.recovery.longest.0,
             fingerprints_on_disk: raw.recovery.fingerprints == super::raw::FingerprintsIn::Disk,
+            pace: raw.recovery.pace,
         },
         share_port: raw.gateway.share_port,
     })
--- a/crates/quartzdrift/src/settings/mod.rs
+++ b/crates/quartzdrift/src/settings/mod.rs
@@ -118,6 +118,7 @@
     pub ask: Duration,
     pub longest: Duration,
     pub fingerprints_on_disk: bool,
+    pub pace: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/quartzdrift/src/settings/raw.rs
+++ b/crates/quartzdrift/src/settings/raw.rs
@@ -82,6 +82,8 @@
     pub longest: Span,
     /// Where workers keep the fingerprints of what they have run.
     pub fingerprints: FingerprintsIn,
+    /// Whether calls are let in by a pace while copies return after a loss of many.
+    pub pace: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
@@ -100,6 +102,7 @@
             ask: Span(Duration::from_secs(2)),
             longest: Span(Duration::from_secs(300)),
             fingerprints: FingerprintsIn::Memory,
+            pace: true,
         }
     }
 }
