Module: what the usual execution took is known again after a loss; failed tries alone narrow the pace

Seen (emulator, 61 schedulers): a popular function stood at 25 workers a second after power came back, since the usual execution counts as one second until one was measured, and homes grow with it; and the pace halved for loads that were no tries. Lab: links between gateways and workers that stall, are deaf or cut, lists that stall, hasty clients; the emulator plays clocks, copies and spoilt state.

--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -546,7 +546,7 @@
     fn usual(&self) -> f64 {
         let means = self.kinds.iter().filter_map(|kind| kind.quick.mean());
         let (count, sum) = means.fold((0, Duration::ZERO), |(n, sum), mean| (n + 1, sum + mean));
-        sum.checked_div(count).map_or(1.0, |mean| mean.as_secs_f64())
+        sum.checked_div(count).or(self.measured.usual).map_or(1.0, |mean| mean.as_secs_f64())
     }
 
     /// Importance of a workload for each unit of work.
@@ -641,6 +641,7 @@
                 let (workload, customer) = (job.workload, job.customer as usize);
                 let (weight, machine) = (self.weight(workload), self.workers[worker].listing.kind);
                 self.finished.add(customer, weight, now);
+                self.measured.usual = Some(Duration::from_secs_f64(self.usual()));
                 for of in [None, Some(machine)] {
                     let peak = self.measured.peaks.entry(of).or_insert(Peak::new(RATE_HALF, SWEEP));
                     peak.add(weight, now);
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -166,4 +166,6 @@
 pub struct Measured {
     pub peaks: BTreeMap<Option<u32>, Peak>,
     pub most_up: BTreeMap<Option<u32>, usize>,
+    /// What the usual execution takes, the mean over workloads.
+    pub usual: Option<Duration>,
 }
--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -4,6 +4,7 @@
 use crate::clients::{self, Clients, Tally};
 use crate::model::{Machine, Spec};
 use crate::record::{Line, Recorder, Seen};
+use crate::relay::Relay;
 use crate::roster::{self, Roster};
 use crate::script::{Script, Spoil, Trouble};
 use crate::store::{self, Store};
@@ -93,6 +94,8 @@
     store: Running<store::Command>,
     gateways: Vec<Gateway>,
     switch: Option<Switch>,
+    /// Links from gateways to workers, where the day has troubles on some.
+    relays: BTreeMap<(usize, usize), Relay>,
     marks: worker::Marks,
     boots: u32,
 }
@@ -361,6 +364,12 @@
                 let option = if ahead { "--ahead" } else { "--behind" };
                 self.gateways[n].clock = vec![option.to_owned(), format!("{}s", by.as_secs())];
             }
+            Trouble::Link(gateway, worker, link) => {
+                if let Some(relay) = self.relays.get(&(gateway, worker)) {
+                    relay.set(link);
+                }
+            }
+            Trouble::RosterStall(n, on) => self.roster.tell(roster::Command::Stall(n as u64, on)),
             Trouble::CopyState(n) => {
                 let state = &self.gateways[n].state;
                 copy(state, &state.with_extension("copy"))?;
@@ -537,6 +546,17 @@
         workers.iter().map(|w| listed(&w.address.to_string(), State::Up, None)).collect();
     let (lag, of) = (script.lag, recorder.clone());
     let roster = actor::spawn(any(), move |handle, _| Roster::new(handle, first, lag, Some(of)))?;
+    let mut relays = BTreeMap::new();
+    if script.troubles.iter().any(|(_, trouble)| matches!(trouble, Trouble::Link(..))) {
+        let pairs = (0..script.gateways).flat_map(|g| (0..workers.len()).map(move |w| (g, w)));
+        for (g, w) in pairs {
+            relays.insert((g, w), Relay::start(workers[w].address)?);
+        }
+        let told = |(&(g, w), relay): (&(usize, usize), &Relay)| {
+            ((g as u64, workers[w].address.to_string()), relay.address.to_string())
+        };
+        roster.tell(roster::Command::Relays(relays.iter().map(told).collect()));
+    }
     let switch = script.fleet.map(|_| Switch::start(script.gateways, seed)).transpose()?;
     let key = folder.path().join("key");
     std::fs::write(&key, "00112233445566778899aabbccddeeff")?;
@@ -566,6 +586,7 @@
         store,
         gateways,
         switch,
+        relays,
         marks,
         boots: 0,
     };
@@ -576,7 +597,8 @@
     let of = recorder.clone();
     let (open_too, tally_too) = (open.clone(), tally.clone());
     let arrivals = traffic::arrivals(script, seed);
-    let plan = clients::Plan { workloads: script.workloads.clone(), arrivals, seed };
+    let (repeats, haste) = (script.repeats, script.haste);
+    let plan = clients::Plan { workloads: script.workloads.clone(), arrivals, seed, repeats, haste };
     let clients =
         actor::spawn(any(), move |handle, _| Clients::new(handle, of, addresses, plan, open_too, tally_too))?;
     let start = Instant::now();
--- a/crates/quartzdrift-lab/src/clients.rs
+++ b/crates/quartzdrift-lab/src/clients.rs
@@ -16,8 +16,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// Repeats of a call that was pushed back or found nobody.
-const REPEATS_MOST: u32 = 2;
 /// How much longer than its limit a client listens, to see an answer that comes late.
 const LISTEN_ON: Duration = Duration::from_millis(500);
 
@@ -32,6 +30,9 @@
     pub arrivals: Vec<Arrival>,
     /// Draws who hangs up and how long is waited.
     pub seed: u64,
+    /// Repeats of a call that was pushed back or found nobody, and the least part of the time told after which it comes again.
+    pub repeats: u32,
+    pub haste: f64,
 }
 
 /// What came of all calls, for the last word.
@@ -72,6 +73,8 @@
     later: Vec<(Duration, Try)>,
     chance: StdRng,
     drawn: u64,
+    repeats: u32,
+    haste: f64,
     open: Arc<AtomicU64>,
     tally: Arc<Mutex<Tally>>,
 }
@@ -91,7 +94,7 @@
         open: Arc<AtomicU64>,
         tally: Arc<Mutex<Tally>>,
     ) -> Clients {
-        let Plan { workloads, arrivals, seed } = plan;
+        let Plan { workloads, arrivals, seed, repeats, haste } = plan;
         Clients {
             http: Http::new(handle, Limits { keepalive: Duration::from_secs(5), ..Limits::default() }),
             next: 0,
@@ -104,6 +107,8 @@
             later: Vec::new(),
             chance: StdRng::seed_from_u64(seed),
             drawn: 0,
+            repeats,
+            haste,
             open,
             tally,
         }
@@ -172,7 +177,7 @@
         let workload = &self.workloads[of.workload];
         let over = self.recorder.now() + after + workload.limit;
         let knows = workload.effect != Effect::Fingerprinted || over < of.first + workload.window;
-        if of.repeats < REPEATS_MOST && knows {
+        if of.repeats < self.repeats && knows {
             of.repeats += 1;
             of.gateway = (of.gateway + 1) % self.gateways.len();
             self.open.fetch_add(1, Ordering::Relaxed);
@@ -195,7 +200,7 @@
         if status == 429 {
             let told = answer.headers.get("x-quartzdrift-come-back-ms").and_then(|ms| ms.parse().ok());
             let told = Duration::from_millis(told.unwrap_or(100));
-            let wait = told.mul_f64(self.chance.random_range(1.0..2.0));
+            let wait = told.mul_f64(self.haste * self.chance.random_range(1.0..2.0));
             self.again(of, wait);
         }
     }
--- a/crates/quartzdrift-lab/src/day.rs
+++ b/crates/quartzdrift-lab/src/day.rs
@@ -203,6 +203,8 @@
         troubles: Vec::new(),
         forecasts: false,
         fleet: None,
+        repeats: 2,
+        haste: 1.0,
     };
     let mut left_out = Vec::new();
     for told in &file.troubles {
--- a/crates/quartzdrift-lab/src/emulate/clients.rs
+++ b/crates/quartzdrift-lab/src/emulate/clients.rs
@@ -81,7 +81,7 @@
         let workload = &self.script.workloads[self.arrivals[of.arrival].workload];
         let over = self.now + after + workload.limit;
         let knows = workload.effect != Effect::Fingerprinted || over < of.first + workload.window;
-        if of.repeats < REPEATS_MOST && knows {
+        if of.repeats < self.script.repeats && knows {
             of.repeats += 1;
             of.gateway = (of.gateway + 1) % self.schedulers.len();
             let at = self.now + after;
@@ -129,7 +129,7 @@
                 self.figures.pushed_back += 1;
                 self.figures.power_pushed_back += u64::from(self.power.off.is_some());
                 let told = come_back.unwrap_or(Duration::from_millis(100));
-                let wait = told.mul_f64(self.chance.random_range(1.0..2.0));
+                let wait = told.mul_f64(self.script.haste * self.chance.random_range(1.0..2.0));
                 self.again(client, wait);
             }
             FinalAnswer::Killed { .. } => self.figures.killed += 1,
--- a/crates/quartzdrift-lab/src/emulate/fleet.rs
+++ b/crates/quartzdrift-lab/src/emulate/fleet.rs
@@ -141,8 +141,18 @@
                     from_some != to_some && (!one_way || from_some)
                 });
                 let lost = self.loss > 0.0 && self.chance.random_range(0.0..1.0) < self.loss;
-                if to < self.schedulers.len() && !apart && !lost {
-                    self.later(Ev::Datagram { to, from: s, bytes });
+                let twice = self.doubled > 0.0 && self.chance.random_range(0.0..1.0) < self.doubled;
+                for _ in
+                    0..if to >= self.schedulers.len() || apart || lost { 0 } else { 1 + u32::from(twice) }
+                {
+                    let event = Ev::Datagram { to, from: s, bytes: bytes.clone() };
+                    match self.late.is_zero() {
+                        true => self.later(event),
+                        false => {
+                            let at = self.now + self.late.mul_f64(self.chance.random_range(0.0..1.0));
+                            self.put(at, event);
+                        }
+                    }
                 }
             }
             Output::Changed(m) if m.state == State::Dead => {
--- a/crates/quartzdrift-lab/src/emulate/mod.rs
+++ b/crates/quartzdrift-lab/src/emulate/mod.rs
@@ -34,7 +34,6 @@
 
 /// The simulated day begins here on the schedulers' clocks.
 const START: Duration = Duration::from_secs(1_700_000_000);
-const REPEATS_MOST: u32 = 2;
 /// Reports are made anew this often.
 const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// After the last call, for what is open to end.
@@ -272,12 +271,16 @@
     standing: Standing,
     deaths: fleet::Deaths,
     power: power::Power,
+    /// The execution whose end is being taken failed with its load.
+    load_failed: bool,
     /// Of workers that are no more: the largest share of what they could be sent while cold.
     cold_most: f64,
     /// Schedulers that datagrams do not reach from others, nor others from them where it is not one way.
     apart: Option<(std::ops::Range<usize>, bool)>,
-    /// Share of datagrams lost.
+    /// Shares of datagrams that are lost and that come twice, and by how much each may be late.
     loss: f64,
+    doubled: f64,
+    late: Duration,
 }
 
 /// The settings that schedulers of a day have.
@@ -378,9 +381,12 @@
         standing: Standing::default(),
         deaths: fleet::Deaths::default(),
         power: power::Power::default(),
+        load_failed: false,
         cold_most: 0.0,
         apart: None,
         loss: 0.0,
+        doubled: 0.0,
+        late: Duration::ZERO,
     };
     sim.play(&machine, seed);
     sim.figures()
--- a/crates/quartzdrift-lab/src/emulate/returning.rs
+++ b/crates/quartzdrift-lab/src/emulate/returning.rs
@@ -1,8 +1,9 @@
 //! How schedulers return to service after they were killed: the real state machine, told what the emulator's members say.
-//! Nothing is on disk here but what a scheduler noted when it was killed, and clocks are true.
+//! On disk here is what a scheduler noted when it was killed, and what a script makes of it.
 use super::{START, Sim};
+use crate::script::Spoil;
 use quartzdrift_choice::measure::Measured;
-use quartzdrift_recovery::{Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings};
+use quartzdrift_recovery::{Came, Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings};
 use std::time::Duration;
 
 /// As the daemon's settings have it where nothing is told.
@@ -17,6 +18,13 @@
     pub machine: Option<Recovery>,
     /// What it noted, and which members it counted then.
     noted: Option<(Mark, Vec<String>)>,
+    /// What it would have noted at another moment, for a script to put back.
+    copy: Option<(Mark, Vec<String>)>,
+    /// The mark cannot be read; nothing can be written.
+    spoilt: bool,
+    pub full: bool,
+    /// How far its next starts' wall clock is off, and whether ahead.
+    pub clock: (Duration, bool),
     /// How long it took to judge its last start after a kill, and what for.
     pub judged: Option<(Duration, Kind)>,
     since: Duration,
@@ -29,7 +37,9 @@
     /// All machines run on the same clock, and one that was killed has started anew.
     fn moment(&self, s: usize) -> Moment {
         let boot = format!("{s}-{}", self.schedulers[s].returning.starts);
-        Moment { wall: self.now, boot, since_boot: BOOT }
+        let (by, ahead) = self.schedulers[s].returning.clock;
+        let wall = if ahead { self.now + by } else { self.now.saturating_sub(by) };
+        Moment { wall, boot, since_boot: BOOT }
     }
 
     pub(super) fn begin_return(&mut self, s: usize) {
@@ -42,7 +52,11 @@
         let name = format!("s{s}");
         let found = match self.schedulers[s].returning.noted.take() {
             Some((mark, known)) => Found::marked(mark, &name, known, moment),
-            None => Found { mark: None, disk: Disk::Empty, known: Vec::new(), now: moment, beside: false },
+            None => {
+                let spoilt = std::mem::take(&mut self.schedulers[s].returning.spoilt);
+                let disk = if spoilt { Disk::Spoilt } else { Disk::Empty };
+                Found { mark: None, disk, known: Vec::new(), now: moment, beside: false }
+            }
         };
         let settings = Settings {
             name,
@@ -71,6 +85,33 @@
         }
     }
 
+    /// What a scheduler that runs would have noted now.
+    pub(super) fn return_copied(&mut self, s: usize) {
+        let moment = self.moment(s);
+        let scheduler = &mut self.schedulers[s];
+        let known = scheduler.fleet.as_ref().map(|fleet| fleet.members.there().map(|m| m.name.to_string()));
+        let known: Vec<String> = known.into_iter().flatten().collect();
+        scheduler.returning.copy =
+            scheduler.returning.machine.as_ref().map(|machine| (machine.mark(moment), known));
+    }
+
+    pub(super) fn return_spoilt(&mut self, s: usize, how: Spoil) {
+        let returning = &mut self.schedulers[s].returning;
+        match how {
+            Spoil::Cut | Spoil::Flip | Spoil::Unreadable => {
+                (returning.noted, returning.spoilt) = (None, true)
+            }
+            Spoil::Empty => returning.noted = None,
+            Spoil::Older => returning.noted = returning.copy.clone(),
+            Spoil::Other => {
+                if let Some((mark, _)) = &mut returning.noted {
+                    mark.name = "another".to_owned();
+                }
+            }
+            Spoil::Full => returning.full = true,
+        }
+    }
+
     pub(super) fn return_due(&mut self, s: usize) {
         let now = self.now;
         if let Some(machine) = &mut self.schedulers[s].returning.machine {
@@ -92,7 +133,12 @@
         if let Some((life, number)) = of.tries.take()
             && life == scheduler.life
         {
-            machine.tried(now, number, finished);
+            let came = match (finished, self.load_failed) {
+                (true, _) => Came::Stands,
+                (false, true) => Came::Refused,
+                (false, false) => Came::Nothing,
+            };
+            machine.tried(now, number, came);
         }
     }
 
--- a/crates/quartzdrift-lab/src/emulate/schedulers.rs
+++ b/crates/quartzdrift-lab/src/emulate/schedulers.rs
@@ -155,18 +155,15 @@
         if scheduler.life != life || scheduler.sent.remove(&(job, execution)).is_none() {
             return;
         }
-        if ended.found == Told::LoadFailed
-            && let Some(machine) = &mut scheduler.returning.machine
-        {
-            machine.load_failed(self.now);
-        }
         if ended.outcome == Outcome::Finished && ended.found != Told::Warm {
             self.figures.waited_for_load += 1;
         }
         if let Some(desk) = &mut scheduler.desk {
+            self.load_failed = ended.found == Told::LoadFailed;
             desk.ended(self.now, job, execution, ended);
         }
         self.outputs(s);
+        self.load_failed = false;
     }
 
     pub(super) fn order_back(&mut self, s: usize, life: u64, order: u64, outcome: Outcome, copies: u32) {
--- a/crates/quartzdrift-lab/src/emulate/troubles.rs
+++ b/crates/quartzdrift-lab/src/emulate/troubles.rs
@@ -59,7 +59,9 @@
             }
             Trouble::PauseGateway(s, length) => self.schedulers[s].paused = self.now + length,
             Trouble::Apart { first, last, one_way } => self.apart = Some((first..last + 1, one_way)),
-            Trouble::Together => self.apart = None,
+            Trouble::Together => {
+                (self.apart, self.loss, self.doubled, self.late) = (None, 0.0, 0.0, Duration::ZERO);
+            }
             Trouble::LoseDatagrams(share) => self.loss = share,
             Trouble::PowerOff { gateways } => {
                 self.power.off.get_or_insert(self.now);
@@ -74,12 +76,13 @@
                 (first..=last).for_each(|s| self.trouble(&Trouble::KillGateway(s), machine, seed));
             }
             Trouble::PowerOnGateway(s) => self.trouble(&Trouble::StartGateway(s), machine, seed),
-            // Here nothing is on disk, clocks are true, and datagrams keep their order: these have no counterpart.
-            Trouble::DoubleDatagrams(_)
-            | Trouble::LateDatagrams(_)
-            | Trouble::Clock(..)
-            | Trouble::CopyState(_)
-            | Trouble::Spoil(..) => {}
+            Trouble::DoubleDatagrams(share) => self.doubled = share,
+            Trouble::LateDatagrams(late) => self.late = late,
+            Trouble::Clock(s, by, ahead) => self.schedulers[s].returning.clock = (by, ahead),
+            Trouble::CopyState(s) => self.return_copied(s),
+            Trouble::Spoil(s, how) => self.return_spoilt(s, how),
+            // Connections are not modelled byte by byte.
+            Trouble::Link(..) | Trouble::RosterStall(..) => {}
             // Empty lists are doubted by the daemon's reading of lists, which is not part of this model.
             Trouble::RosterEmpty(_) => {}
             Trouble::StoreSlow(times) => {
@@ -112,7 +115,7 @@
                 }
             }
             Trouble::StartGateway(s) => {
-                if self.schedulers[s].desk.is_none() {
+                if self.schedulers[s].desk.is_none() && !self.schedulers[s].returning.full {
                     self.fleet_restarted(s);
                     self.start_scheduler(s, seed);
                 }
--- a/crates/quartzdrift-lab/src/lib.rs
+++ b/crates/quartzdrift-lab/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod naive;
 pub mod platform;
 pub mod record;
+pub mod relay;
 pub mod roster;
 pub mod script;
 pub mod store;
--- a/crates/quartzdrift-lab/src/roster.rs
+++ b/crates/quartzdrift-lab/src/roster.rs
@@ -7,7 +7,7 @@
 use quartzdrift_http::{Exchange, HasHttp, Headers, Http, HttpEvent, Limits, Response};
 use quartzdrift_roster::list::{self, Known, Listed};
 use quartzdrift_roster::stream;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Bytes that wait for a slow reader at most.
@@ -21,6 +21,10 @@
     Stop(bool),
     /// Answers with an empty list, whatever is so.
     Empty(bool),
+    /// Says nothing more to one gateway, and ends nothing.
+    Stall(u64, bool),
+    /// Where a gateway reaches workers, by their own addresses, if not there.
+    Relays(BTreeMap<(u64, String), String>),
 }
 
 pub struct Roster {
@@ -35,6 +39,8 @@
     heard: BTreeMap<(u64, String), bool>,
     stopped: bool,
     empty: bool,
+    stalled: BTreeSet<u64>,
+    relays: BTreeMap<(u64, String), String>,
 }
 
 impl HasHttp for Roster {
@@ -61,6 +67,8 @@
             heard: BTreeMap::new(),
             stopped: false,
             empty: false,
+            stalled: BTreeSet::new(),
+            relays: BTreeMap::new(),
         }
     }
 
@@ -79,6 +87,12 @@
         }
     }
 
+    /// A worker as a gateway reaches it.
+    fn reached(&self, gateway: u64, one: &Listed) -> Listed {
+        let relay = self.relays.get(&(gateway, one.worker.clone()));
+        Listed { worker: relay.unwrap_or(&one.worker).clone(), ..one.clone() }
+    }
+
     fn listed(&self) -> Vec<Listed> {
         if self.empty {
             return Vec::new();
@@ -88,11 +102,14 @@
 
     fn asked(&mut self, exchange: Exchange, target: &str, events: bool) {
         let gateway = target.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+        if self.stalled.contains(&gateway) {
+            return;
+        }
         if events {
             // A process that asks for the stream knows nothing yet.
             self.heard.retain(|(of, _), _| *of != gateway);
         }
-        let workers = self.listed();
+        let workers: Vec<Listed> = self.listed().iter().map(|one| self.reached(gateway, one)).collect();
         let text = list::write(&workers, &Known::default());
         if !self.empty {
             let all: Vec<Listed> = self.told.values().cloned().collect();
@@ -143,6 +160,17 @@
                 }
             }
             Command::Empty(on) => self.empty = on,
+            Command::Stall(gateway, on) if on => drop(self.stalled.insert(gateway)),
+            Command::Stall(gateway, _) => {
+                // What it missed it hears when it asks again, over a connection that lives.
+                self.stalled.remove(&gateway);
+                let (its, others) =
+                    std::mem::take(&mut self.streams).into_iter().partition(|(_, of)| *of == gateway);
+                self.streams = others;
+                let its: Vec<(Exchange, u64)> = its;
+                its.into_iter().for_each(|(of, _)| self.http.cut(of));
+            }
+            Command::Relays(relays) => self.relays = relays,
         }
     }
 
@@ -156,9 +184,12 @@
             if self.stopped || self.empty {
                 continue;
             }
-            let change = list::write(std::slice::from_ref(&listed), &Known::default());
-            let change = stream::write("changes", &String::from_utf8_lossy(&change));
             for (exchange, gateway) in self.streams.clone() {
+                if self.stalled.contains(&gateway) {
+                    continue;
+                }
+                let change = list::write(&[self.reached(gateway, &listed)], &Known::default());
+                let change = stream::write("changes", &String::from_utf8_lossy(&change));
                 self.note(gateway, std::slice::from_ref(&listed));
                 self.http.push(exchange, &change, WAITING_MOST);
             }
--- a/crates/quartzdrift-lab/src/script.rs
+++ b/crates/quartzdrift-lab/src/script.rs
@@ -26,8 +26,12 @@
 //! at 2s copy gateway 1          of its folder; `spoil gateway 1 older` puts it back while it is down; also
 //!                               cut, flip, other, empty, unreadable, full
 //! at 5s stop gateways 0 4       all told to stop as operators do, and waited for
+//! at 5s link gateway 1 worker 2 stalled     no byte passes, and nothing ends; also deaf (no answer comes back), cut, well
+//! at 5s link gateway 1 roster stalled       its list comes no more, and no stream ends; also well
+//! clients repeats=6 haste=0.3   a call that was pushed back comes so often again, after such a part of the time that was told
 //! fleet 50ms                    gateways are members of a fleet with this period, and keep deferred jobs on disk
 //! ```
+use crate::relay::Link;
 use quartzdrift_choice::interface::Effect;
 use std::time::Duration;
 
@@ -126,6 +130,10 @@
     /// The wall clock of its next starts: ahead, or behind.
     Clock(usize, Duration, bool),
     CopyState(usize),
+    /// Between a gateway and a worker.
+    Link(usize, usize, Link),
+    /// Whether a gateway's stream of lists stalls.
+    RosterStall(usize, bool),
     Spoil(usize, Spoil),
 }
 
@@ -165,6 +173,9 @@
     pub forecasts: bool,
     /// The members' period, where gateways are a fleet.
     pub fleet: Option<Duration>,
+    /// How often a call that was pushed back comes again at most, and after which part of the time that it was told at least.
+    pub repeats: u32,
+    pub haste: f64,
 }
 
 struct Words<'a>(Vec<&'a str>);
@@ -218,6 +229,8 @@
         troubles: Vec::new(),
         forecasts: false,
         fleet: None,
+        repeats: 2,
+        haste: 1.0,
     };
     for (n, line) in text.lines().enumerate() {
         let words = Words(line.split('#').next().unwrap_or("").split_whitespace().collect());
@@ -230,6 +243,11 @@
     }
     script.troubles.sort_by_key(|(at, _)| *at);
     for (_, trouble) in &script.troubles {
+        if let Trouble::Link(_, worker, _) = trouble
+            && *worker >= script.workers
+        {
+            return Err(format!("{trouble:?} names a worker that is not there: they are counted from 0"));
+        }
         let (of, most) = match trouble {
             Trouble::KillGateway(n)
             | Trouble::StartGateway(n)
@@ -237,6 +255,8 @@
             | Trouble::PowerOnGateway(n)
             | Trouble::Clock(n, ..)
             | Trouble::CopyState(n)
+            | Trouble::Link(n, ..)
+            | Trouble::RosterStall(n, _)
             | Trouble::Spoil(n, _) => (*n, script.gateways),
             Trouble::Apart { last, .. } => (*last, script.gateways),
             Trouble::StopGateways(_, last) => (*last, script.gateways),
@@ -310,6 +330,11 @@
                 words.known(&["lag"])?;
                 self.lag = words.span("lag", self.lag)?;
             }
+            "clients" => {
+                words.known(&["repeats", "haste"])?;
+                self.repeats = words.number("repeats", self.repeats)?;
+                self.haste = words.number("haste", self.haste)?;
+            }
             "forecasts" => self.forecasts = true,
             "fleet" => self.fleet = Some(span(words.at(1)?)?),
             "workload" => self.workloads.push(workload(words)?),
@@ -383,6 +408,21 @@
                 };
                 Trouble::Clock(index(4)?, span(words.at(6)?)?, ahead)
             }
+            ("link", "gateway") if words.at(5)? == "roster" => match words.at(6)? {
+                "stalled" => Trouble::RosterStall(index(4)?, true),
+                "well" => Trouble::RosterStall(index(4)?, false),
+                other => return Err(format!("the link to the roster is stalled or well, not '{other}'")),
+            },
+            ("link", "gateway") if words.at(5)? == "worker" => {
+                let link = match words.at(7)? {
+                    "well" => Link::Well,
+                    "stalled" => Link::Stalled,
+                    "deaf" => Link::Deaf,
+                    "cut" => Link::Cut,
+                    other => return Err(format!("no link is '{other}'")),
+                };
+                Trouble::Link(index(4)?, index(6)?, link)
+            }
             ("copy", "gateway") => Trouble::CopyState(index(4)?),
             ("spoil", "gateway") => Trouble::Spoil(index(4)?, spoil(words.at(5)?)?),
             ("stop", "gateways") => Trouble::StopGateways(index(4)?, index(5)?),
--- a/crates/quartzdrift-recovery/src/lib.rs
+++ b/crates/quartzdrift-recovery/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use backlog::Backlog;
 pub use moment::{Age, Moment};
-pub use pace::Copy;
+pub use pace::{Came, Copy};
 pub use recovery::{Output, Recovery, Settings, Stage, View};
 pub use start::{Disk, Found, Kind, Mark, Verdict};
 pub use topics::{About, RECOVERY, Said, Unread};
--- a/crates/quartzdrift-recovery/src/pace.rs
+++ b/crates/quartzdrift-recovery/src/pace.rs
@@ -36,6 +36,16 @@
     Stands,
 }
 
+/// What came of a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    Stands,
+    /// The store turned the load away.
+    Refused,
+    /// Its job never got as far, or was given up.
+    Nothing,
+}
+
 /// A piece of news: a function, by its number, and what is known of it.
 pub type Piece = (u32, Copy);
 
@@ -119,10 +129,15 @@
     }
 
     /// A try of ours is over: the call's job has its final answer.
-    pub fn tried(&mut self, now: Duration, function: u32, finished: bool) {
+    pub fn tried(&mut self, now: Duration, function: u32, came: Came) {
         let Some(since) = self.out.remove(&function) else { return };
-        if !finished {
-            return self.learn(now, (function, Copy::Open));
+        match came {
+            Came::Stands => {}
+            Came::Refused => {
+                self.refused(now);
+                return self.learn(now, (function, Copy::Open));
+            }
+            Came::Nothing => return self.learn(now, (function, Copy::Open)),
         }
         let took = now.saturating_sub(since);
         let quickest = self.quickest.map_or(took, |quickest| quickest.min(took));
@@ -134,8 +149,8 @@
         self.learn(now, (function, Copy::Stands));
     }
 
-    /// The store turned a load away.
-    pub fn refused(&mut self, now: Duration) {
+    /// The store turned a load away: those that fail with it, within a load's time, count once.
+    fn refused(&mut self, now: Duration) {
         if now >= self.halved {
             self.window = (self.window / 2.0).max(WINDOW_LEAST);
             self.halved = now + self.usual;
@@ -213,10 +228,10 @@
         assert!(wait > Duration::ZERO && wait <= LOAD_UNSEEN, "{wait:?}");
         assert_eq!(pace.let_in(S, 2), Ok(true));
         assert!(pace.let_in(S, 3).is_err(), "two at a time at first");
-        pace.tried(S + 300 * MS, 1, true);
+        pace.tried(S + 300 * MS, 1, Came::Stands);
         assert_eq!((pace.let_in(S * 2, 1), pace.let_in(S * 2, 1)), (Ok(false), Ok(false)));
         // One that came to nothing is tried again; one of which nothing is heard is over.
-        pace.tried(S * 2, 2, false);
+        pace.tried(S * 2, 2, Came::Nothing);
         assert_eq!(pace.let_in(S * 2, 2), Ok(true));
         assert!(pace.let_in(S * 4, 2).is_err());
         assert_eq!(pace.let_in(S * 2 + TRY_MOST, 2), Ok(true));
@@ -237,13 +252,12 @@
             let tries = most(&mut pace, now);
             assert_eq!(tries.clone().count(), out);
             now += 300 * MS;
-            tries.for_each(|of| pace.tried(now, of, true));
+            tries.for_each(|of| pace.tried(now, of, Came::Stands));
         }
         let tries = most(&mut pace, now);
         now += 300 * MS;
         for of in tries {
-            pace.refused(now);
-            pace.tried(now, of, false);
+            pace.tried(now, of, Came::Refused);
         }
         assert!(most(&mut pace, now).is_empty(), "it waits for a load's time");
         now += S;
@@ -252,13 +266,13 @@
         let mut slow = Pace::new(S, 1);
         for (at, took) in [(1, 300), (2, 990), (3, 990)] {
             slow.let_in(S * at, at).unwrap();
-            slow.tried(S * at + took * MS, at, true);
+            slow.tried(S * at + took * MS, at, Came::Stands);
         }
         assert_eq!(slow.window, 3.0, "one quick load");
         // Below one try at a time there are pauses between tries.
         (0..20u32).for_each(|n| slow.refused(S * (10 + n)));
         assert_eq!((slow.window, slow.let_in(S * 60, 9)), (WINDOW_LEAST, Ok(true)));
-        slow.tried(S * 61, 9, false);
+        slow.tried(S * 61, 9, Came::Nothing);
         assert!(slow.let_in(S * 62, 10).is_err());
     }
 
@@ -268,7 +282,7 @@
             let names: Vec<String> = (0..members).map(|n| format!("{n:03}")).collect();
             let mut all: Vec<Pace> = (0..members).map(|n| Pace::new(S, n as u64)).collect();
             assert_eq!(all[0].let_in(S, 7), Ok(true));
-            all[0].tried(S, 7, true);
+            all[0].tried(S, 7, Came::Stands);
             let (mut now, mut told, mut drawn) = (S, 0, 0u64);
             while all.iter().any(|of| of.next_due().is_some()) {
                 for n in 0..members {
--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -1,7 +1,7 @@
 //! The state machine from a start to full service.
 use crate::backlog::Backlog;
 use crate::moment::Age;
-use crate::pace::Pace;
+use crate::pace::{Came, Pace};
 use crate::start::{Disk, Found, Heard, Kind, Mark, Verdict, judge, surely_many};
 use crate::topics::{About, Said, Unread};
 use crate::trust::{Belief, Thing, beliefs, repeats_known, waiting_in_doubt};
@@ -508,16 +508,9 @@
     }
 
     /// The job of a call that was let in as a try has its final answer.
-    pub fn tried(&mut self, now: Duration, number: u32, finished: bool) {
+    pub fn tried(&mut self, now: Duration, number: u32, came: Came) {
         if let Some(pace) = &mut self.pace {
-            pace.tried(now, number, finished);
-        }
-    }
-
-    /// A load failed at a worker.
-    pub fn load_failed(&mut self, now: Duration) {
-        if let Some(pace) = &mut self.pace {
-            pace.refused(now);
+            pace.tried(now, number, came);
         }
     }
 
@@ -735,7 +728,7 @@
         assert!(measured(&mut of));
         let number = of.let_in(ZERO, "f").unwrap().expect("a try");
         assert!(of.let_in(ZERO, "f").is_err());
-        of.tried(ZERO + S / 2, number, true);
+        of.tried(ZERO + S / 2, number, Came::Stands);
         assert_eq!(of.let_in(ZERO + S / 2, "f"), Ok(None));
         let mut now = ZERO;
         while of.stage() < Stage::Backlog {
--- a/crates/quartzdrift/src/gateway/mod.rs
+++ b/crates/quartzdrift/src/gateway/mod.rs
@@ -112,6 +112,8 @@
     exchanges: HashMap<Exchange, JobId>,
     /// The answer of the execution that is being ended.
     in_hand: Option<Response>,
+    /// The execution whose end is being taken failed with its load.
+    load_failed: bool,
     deferred: Queue<Changes>,
     store: Option<store::Store>,
     timers: Timers,
@@ -155,6 +157,7 @@
             orders: HashMap::new(),
             exchanges: HashMap::new(),
             in_hand: None,
+            load_failed: false,
             deferred: Queue::new(settings.deferred.clone(), Changes::new(settings.store.is_some()), seed),
             store: None,
             timers: Timers::new(timers, seed, looked),
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -6,7 +6,9 @@
 use quartzdrift_choice::interface::{Effect, ListForm, State};
 use quartzdrift_deferred::After;
 use quartzdrift_desk::FinalAnswer;
-use quartzdrift_recovery::{Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings as Told, Stage};
+use quartzdrift_recovery::{
+    Came, Disk, Found, Kind, Mark, Moment, Output, Recovery, Settings as Told, Stage,
+};
 use quartzdrift_store::{Folder, Live};
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -290,19 +292,18 @@
         self.returning.as_mut().map_or(Ok(None), |returning| returning.machine.let_in(now, function))
     }
 
-    /// A load failed at a worker: the store bears less.
-    pub(super) fn load_failed(&mut self) {
-        let now = self.now();
-        if let Some(returning) = &mut self.returning {
-            returning.machine.load_failed(now);
-        }
-    }
-
     /// A job had its final answer.
     pub(super) fn job_answered(&mut self, work: &Work, answer: FinalAnswer) {
         let now = self.now();
         if let (Some(number), Some(returning)) = (work.tries, &mut self.returning) {
-            returning.machine.tried(now, number, answer == FinalAnswer::Finished);
+            let came = match answer {
+                FinalAnswer::Finished => Came::Stands,
+                _ if self.load_failed => Came::Refused,
+                FinalAnswer::PushedBack { .. } | FinalAnswer::Killed { .. } | FinalAnswer::Expired => {
+                    Came::Nothing
+                }
+            };
+            returning.machine.tried(now, number, came);
         }
         let Some(returning) = self.returning.as_mut().filter(|of| of.machine.stage() != Stage::Full) else {
             return;
--- a/crates/quartzdrift/src/gateway/workers.rs
+++ b/crates/quartzdrift/src/gateway/workers.rs
@@ -105,14 +105,12 @@
         let report = answer.as_ref().map(Self::report).unwrap_or_default();
         let (found, crowd) = (verdict::found(&report), verdict::crowd(&report));
         let ended = Ended { outcome, found, crowd, report: self.figures(&report) };
-        if found == Found::LoadFailed {
-            self.load_failed();
-        }
         tracing::trace!(job, execution, ?outcome, "execution ended");
         self.in_hand = answer.filter(|_| outcome == Outcome::Finished);
+        self.load_failed = found == Found::LoadFailed;
         self.desk.ended(self.now(), job, execution, ended);
         self.carry_out();
-        self.in_hand = None;
+        (self.in_hand, self.load_failed) = (None, false);
     }
 
     pub(super) fn answered(&mut self, call: CallId, answer: Response) {
