--- a/crates/quartzdrift-lab/src/audit.rs
+++ b/crates/quartzdrift-lab/src/audit.rs
@@ -158,7 +158,8 @@
             | Seen::ToldUp { .. }
             | Seen::Started { .. }
             | Seen::Fell { .. }
-            | Seen::Fetch { .. } => {}
+            | Seen::Fetch { .. }
+            | Seen::FetchRefused { .. } => {}
         }
     }
     day
--- a/crates/quartzdrift-lab/src/record.rs
+++ b/crates/quartzdrift-lab/src/record.rs
@@ -54,6 +54,10 @@
     Fetch {
         worker: String,
     },
+    /// The store turned it away.
+    FetchRefused {
+        worker: String,
+    },
     /// Nothing more is under way between gateway and worker: answered or closed.
     Over {
         worker: String,
--- a/crates/quartzdrift-lab/src/switch.rs
+++ b/crates/quartzdrift-lab/src/switch.rs
@@ -28,7 +28,8 @@
 pub fn kept_port() -> io::Result<SocketAddr> {
     let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
     let lowest: u16 = range.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(32_768);
-    let first = (std::process::id() % u32::from(PORTS)) as u16;
+    // Processes that start one after the other look far from each other.
+    let first = (std::process::id().wrapping_mul(1_237) % u32::from(PORTS)) as u16;
     for _ in 0..PORTS {
         let place = (first + HANDED.fetch_add(1, Ordering::Relaxed) % PORTS) % PORTS;
         let at = SocketAddr::from(([127, 0, 0, 1], lowest.saturating_sub(1 + place)));
--- a/crates/quartzdrift-lab/src/worker.rs
+++ b/crates/quartzdrift-lab/src/worker.rs
@@ -463,6 +463,9 @@
             HttpEvent::Answer { call, answer } => {
                 if let Some(load) = self.fetches.remove(&call) {
                     let now = self.now();
+                    if answer.status != 200 {
+                        self.see(Seen::FetchRefused { worker: self.address.to_string() });
+                    }
                     self.model.fetched(now, load, answer.status == 200);
                     self.act();
                 }
--- a/crates/quartzdrift-lab/tests/recovery.rs
+++ b/crates/quartzdrift-lab/tests/recovery.rs
@@ -144,6 +144,68 @@
     assert!(finished_after(&day, 3.0) > 80, "the others serve on");
 }
 
+/// A fleet whose workers are cold for long after a start, behind a store that bears little: most functions are wanted at once.
+const CROWDED: &str = "
+gateways 5
+workers 6 cores=4 memory=2000 keep=60s queue=60 cold=0.3 cold-for=2s fall=3 fall-window=1s
+store capacity=3 limit=6
+roster lag=20ms
+fleet 50ms
+workload quote restartable rate=150 work=5ms limit=2s functions=40 memory=60 load=200ms lanes=2
+";
+
+fn crowded(troubles: &str, seed: u64) -> Day {
+    let script = script::read(&format!("{CROWDED}\n{troubles}")).unwrap();
+    let lab = Path::new(env!("CARGO_BIN_EXE_quartzdrift-lab"));
+    let day = play(&script, &Program::lab(lab, "gateway"), seed).unwrap();
+    assert!(day.broken.is_empty(), "{:?} {:?}", day.broken, day.views);
+    day
+}
+
+/// Fetches after the moment in seconds, and how many of them the store turned away.
+fn fetches_after(day: &Day, from: f64) -> (usize, usize) {
+    let late = day.lines.iter().filter(|line| line.at_us as f64 / 1e6 >= from);
+    let count = |of: fn(&Seen) -> bool| late.clone().filter(|line| of(&line.seen)).count();
+    let refused = count(|seen| matches!(seen, Seen::FetchRefused { .. }));
+    (count(|seen| matches!(seen, Seen::Fetch { .. })), refused)
+}
+
+#[test]
+fn a_store_that_bears_little_is_not_asked_again_and_again_while_copies_return() {
+    let power = "length 13s\nat 4s power off all\nat 4500ms power on workers 0 5\nat 4500ms power on roster\n\
+                 at 4600ms power on gateways 0 4 every=100ms";
+    let day = crowded(power, 11);
+    let (fetches, refused) = fetches_after(&day, 4.0);
+    assert!(fetches >= 40 && refused * 2 < fetches, "{fetches} fetches, {refused} of them turned away");
+    assert!(finished_after(&day, 10.0) > 300, "service is back");
+}
+
+#[test]
+fn clients_that_come_three_times_as_often_do_not_keep_service_from_returning() {
+    let day = crowded(
+        "clients repeats=6 haste=0.3\nlength 14s\nat 4s power off all\nat 4500ms power on workers 0 5\n\
+         at 4500ms power on roster\nat 4600ms power on gateways 0 4 every=100ms",
+        12,
+    );
+    assert!(finished_after(&day, 11.0) > 300, "service is back");
+    assert!(day.views.iter().flatten().all(|view| view.stage == Stage::Full), "{:?}", day.views);
+}
+
+#[test]
+fn streams_that_stall_and_links_that_fail_while_power_returns() {
+    let day = played(
+        "gateways 3\nlength 11s\nat 2s power off all\nat 2500ms power on workers 0 4\nat 2500ms power on roster\n\
+         at 2550ms link gateway 0 roster stalled\nat 2550ms link gateway 1 worker 0 deaf\n\
+         at 2550ms link gateway 1 worker 1 stalled\nat 2550ms link gateway 2 worker 2 cut\n\
+         at 2600ms power on gateways 0 2 every=50ms\nat 4s drain worker 3\nat 4500ms crash worker 3\n\
+         at 6s link gateway 0 roster well\nat 6s link gateway 1 worker 0 well\nat 6s link gateway 1 worker 1 well\n\
+         at 6s link gateway 2 worker 2 well",
+        13,
+    );
+    assert_eq!(kinds(&day), [Some((Kind::LossOfMany, Disk::Whole)); 3]);
+    assert!(finished_after(&day, 7.0) > 100);
+}
+
 #[test]
 fn drawn_days_of_power_loss_keep_every_rule() {
     let program = Program::lab(Path::new(env!("CARGO_BIN_EXE_quartzdrift-lab")), "gateway");
