--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -1,6 +1,5 @@
 //! Every decision of the router. Make a [`Scheduler`] from the settings and a seed, give each event to
-//! [`Scheduler::handle`] in the order it came, and carry out the actions it returns in their order.
-//! The types of events, actions and settings are in `interface.rs`.
+//! [`Scheduler::handle`] in the order it came, and carry out its actions in theirs. Types: `interface.rs`.
 //!
 //! Inside are a desk, which owns the jobs, and one actor for each worker. They talk only by notes put into
 //! inboxes; one loop empties them all before the next event. A job is a call for offers to every worker: set
@@ -494,7 +493,7 @@
                 }
             }
             Event::Expected(expected) => self.expected(&expected),
-            Event::Measured(before) => self.measured = before,
+            Event::Measured(before) => self.measured = Measured { lost: true, ..before },
             Event::Schedulers(count) => self.figures.schedulers = f64::from(count.max(1)),
             Event::Loaded { worker, function, outcome, took, copies } => {
                 self.loaded(worker, function, outcome, took, copies);
@@ -651,7 +650,7 @@
                 job.may_have_run.get_or_insert((worker, sent));
             }
             Outcome::Full => job.fulls += u32::from(!ending.room),
-            Outcome::Miss if ending.found == Found::LoadFailed => job.fulls = FULLS_MOST, // others load in vain
+            Outcome::Miss if ending.found == Found::LoadFailed => job.fulls = FULLS_MOST, // all would
             Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => {}
         }
         if over {
@@ -725,7 +724,8 @@
     fn choose(&mut self, id: JobId, call: Call) {
         let mut offers = std::mem::take(&mut self.offers);
         let Some(job) = self.jobs.get(&id) else { return };
-        let cold = offers.iter().filter(|o| o.cold).count() * 2 > offers.len();
+        let cold = self.measured.lost && offers.iter().filter(|o| o.cold).count() * 2 > offers.len();
+        self.measured.lost = cold;
         offers.retain(|o| cold || !o.spent);
         let ill = offers.iter().filter(|o| o.ill).count();
         if ill as f64 <= ILL_MOST * offers.len() as f64 {
--- a/crates/quartzdrift-choice/src/measure.rs
+++ b/crates/quartzdrift-choice/src/measure.rs
@@ -168,4 +168,6 @@
     pub most_up: BTreeMap<Option<u32>, usize>,
     /// What the usual execution takes, the mean over workloads.
     pub usual: Option<Duration>,
+    /// It is of before a loss of many, and most workers have been cold since.
+    pub lost: bool,
 }
