--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -112,8 +112,10 @@
 fn fleet_settings(me: usize, period: Duration, switch: &Switch, key: &Path) -> String {
     let seeds: Vec<String> = switch.outside.iter().map(|at| format!("\"{at}\"")).collect();
     format!(
-        "[fleet]\nname = \"gateway-{me}\"\ncluster = \"day\"\nlisten = \"{}\"\nadvertise = \"{}\"\nseeds = [{}]\n\
+        "[fleet]\nname = \"gateway-{me}\"\ncluster = \"day-{}\"\nlisten = \"{}\"\nadvertise = \"{}\"\nseeds = [{}]\n\
          keys = [\"{}\"]\nperiod = \"{}ms\"\n[recovery]\nask = \"1s\"\nlongest = \"60s\"\n",
+        // Gateways that outlived a day that was broken off speak to none of another.
+        switch.outside[0].port(),
         switch.inside[me],
         switch.outside[me],
         seeds.join(", "),
--- a/crates/quartzdrift-lab/src/emulate/mod.rs
+++ b/crates/quartzdrift-lab/src/emulate/mod.rs
@@ -119,6 +119,11 @@
     pub power_fetches: u64,
     pub power_functions: u64,
     pub power_refused: u64,
+    /// Calls a second that were in time over ten seconds before the loss, and over the last ten of the day.
+    pub power_goodput_before: f64,
+    pub power_goodput_after: f64,
+    /// Largest fall of the share in time, over windows of a second, below what it had come to since.
+    pub power_fall_back: f64,
     /// Of the schedulers' last starts after a loss of power, the share judged as such, and the longest time until one was judged.
     pub judged_lost: f64,
     pub judged_most_s: f64,
--- a/crates/quartzdrift-lab/src/emulate/power.rs
+++ b/crates/quartzdrift-lab/src/emulate/power.rs
@@ -43,6 +43,22 @@
         self.figures.power_fetches = fetched.clone().map(|of| of.0).sum();
         self.figures.power_functions = fetched.count() as u64;
         self.figures.power_refused = self.power.refused;
+        let end = START + self.script.length;
+        self.figures.power_goodput_before = self.goodput(off.saturating_sub(BEFORE), off);
+        self.figures.power_goodput_after = self.goodput(end.saturating_sub(BEFORE), end);
+        let (mut from, mut best) = (back.unwrap_or(off), 0.0f64);
+        while from + WINDOW <= end {
+            let share = self.share(None, from, from + WINDOW).unwrap_or(best);
+            self.figures.power_fall_back = self.figures.power_fall_back.max(best - share);
+            (from, best) = (from + STEP, best.max(share));
+        }
+    }
+
+    /// Calls a second of this time that were in time.
+    fn goodput(&self, from: Duration, to: Duration) -> f64 {
+        let of = |a: &crate::traffic::Arrival| (from..to).contains(&(START + crate::traffic::at(a)));
+        let good = self.in_time.iter().filter(|n| of(&self.arrivals[**n])).count();
+        good as f64 / to.saturating_sub(from).as_secs_f64().max(1.0)
     }
 
     /// From the first start after the last loss of power until calls to all were in time as often as before it, for good.
--- a/crates/quartzdrift-lab/src/losses.rs
+++ b/crates/quartzdrift-lab/src/losses.rs
@@ -1,8 +1,10 @@
 //! Days of power loss drawn from a seed: who is back when, what is spoilt, cut off, set wrong or lost again meanwhile.
 use crate::badday::{self, Day, Program};
-use crate::script;
+use crate::record::Seen;
+use crate::script::{self, Script, Trouble};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
 use std::sync::Mutex;
@@ -70,6 +72,49 @@
     text
 }
 
+/// Of a day on sockets with power lost: seconds from the first start after the last loss until calls were finished in their start
+/// target as often as before the first, or nearly, for good; looked at in windows of a second. A client's repeats count with its first.
+pub fn returned(day: &Day, script: &Script) -> Option<f64> {
+    const NEARLY: f64 = 0.95;
+    let moments = |of: fn(&Trouble) -> bool| {
+        script.troubles.iter().filter(move |(_, t)| of(t)).map(|(at, _)| at.as_secs_f64())
+    };
+    let offs: Vec<f64> = moments(|t| matches!(t, Trouble::PowerOff { .. })).collect();
+    let (first, last) = (*offs.first()?, *offs.last()?);
+    let back =
+        moments(|t| matches!(t, Trouble::PowerOnGateway(_) | Trouble::Start(_))).find(|at| *at > last)?;
+    let (mut calls, mut keys): (BTreeMap<u64, &str>, BTreeMap<&str, (f64, f64, bool)>) = Default::default();
+    // The record began before the troubles' clock, at the first gateway's start.
+    let start = day.lines.iter().find(|line| matches!(line.seen, Seen::Asked { .. }))?.at_us as f64 / 1e6;
+    for line in &day.lines {
+        let at = line.at_us as f64 / 1e6 - start;
+        if let Seen::Asked { call, key, workload, deferred: false, .. } = &line.seen {
+            let target = script.workloads.iter().find(|w| w.name == *workload)?.start_target.as_secs_f64();
+            keys.entry(key).or_insert((at, target, false));
+            calls.insert(*call, key);
+        }
+        if let Seen::Answered { call, status: 200, killed: false, .. } = &line.seen
+            && let Some((asked, target, good)) = calls.get(call).and_then(|key| keys.get_mut(key))
+        {
+            *good |= at <= *asked + *target;
+        }
+    }
+    let share = |from: f64, to: f64| {
+        let of = keys.values().filter(|(asked, ..)| (from..to).contains(asked));
+        let (all, good) = of.fold((0u32, 0u32), |(all, good), of| (all + 1, good + u32::from(of.2)));
+        (all > 0).then(|| f64::from(good) / f64::from(all))
+    };
+    let before = share(first / 2.0, first)?;
+    let (mut from, mut since) = (back, back);
+    while from + 1.0 < script.length.as_secs_f64() {
+        if share(from, from + 1.0).is_some_and(|share| share < NEARLY * before) {
+            since = from + 0.25;
+        }
+        from += 0.25;
+    }
+    Some(since - back)
+}
+
 /// A day that broke a rule, or could not be played.
 pub struct Bad {
     pub seed: u64,
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 use quartzdrift_lab::{
-    actor, audit, badday, day, emulate, experiment, load, losses, measure, naive, roster, script, store,
-    traffic, worker,
+    actor, audit, badday, day, emulate, experiment, load, losses, measure, naive, record, roster, script,
+    store, traffic, worker,
 };
 
 use clap::{Parser, Subcommand};
@@ -432,6 +432,11 @@
             day.waited_for_load,
             day.fetches
         );
+        if let Some(back) = losses::returned(&day, &script) {
+            let refused =
+                day.lines.iter().filter(|l| matches!(l.seen, record::Seen::FetchRefused { .. })).count();
+            println!("as before {back:.2} s after power came back; the store turned {refused} fetches away");
+        }
         if let Some(path) = record
             && let Err(e) = badday::save(&day, path)
         {
--- a/crates/quartzdrift-recovery/src/pace.rs
+++ b/crates/quartzdrift-recovery/src/pace.rs
@@ -10,6 +10,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
+/// Longest time to come back that is told: by then the window has moved.
+const BACK_MOST: Duration = Duration::from_secs(2);
 /// Functions of which something is known, at most; beyond them all are let in.
 const FUNCTIONS_MOST: usize = 65_536;
 /// A try of which nothing was heard for so long is over: a load in a crowd takes less.
@@ -102,7 +104,7 @@
     /// So many usual loads, once to twice: who is put off does not come back as one wave.
     fn back(&mut self, loads: f64) -> Duration {
         let part = self.draw() as f64 / u64::MAX as f64;
-        self.usual.mul_f64(loads * (1.0 + part))
+        self.usual.mul_f64(loads * (1.0 + part)).min(BACK_MOST)
     }
 
     /// Whether a call for this function may become a job now, and whether it is a try; else when to come back.
@@ -121,7 +123,7 @@
             return Err(self.back(loads));
         }
         if self.window < 1.0 {
-            self.next_try = now + self.back(1.0 / self.window);
+            self.next_try = now + self.usual.mul_f64(1.0 / self.window);
         }
         self.out.insert(function, now);
         self.learn(now, (function, Copy::Tried));
