--- a/crates/quartzdrift-choice/src/choice.rs
+++ b/crates/quartzdrift-choice/src/choice.rs
@@ -59,7 +59,6 @@
 const FORGET: Duration = Duration::from_secs(600); // after it left: no list brings a worker back later
 const DESK: usize = 0; // number of the desk's inbox; worker `ix` has inbox `ix + 1`
 
-/// The few derived figures that decisions use.
 #[derive(Default)]
 struct Figures {
     seed: u64,
@@ -714,10 +713,11 @@
         }
     }
 
-    /// What each worker of a kind, or of all, surely takes a second.
+    /// What each worker of a kind, or of all, surely takes a second; less after a loss, as all are filled at once.
     fn can_do(&self, of: Option<u32>) -> f64 {
         let peak = self.measured.peaks.get(&of).map_or(0.0, |peak| peak.now(self.now));
-        peak / self.measured.most_up.get(&of).map_or(1.0, |&most| most as f64)
+        let part = if self.measured.lost { COLD_SAFETY } else { 1.0 };
+        part * peak / self.measured.most_up.get(&of).map_or(1.0, |&most| most as f64)
     }
 
     /// The ordinary path, and its exceptions: see docs/design.md.
