--- a/crates/quartzdrift-lab/tests/recovery.rs
+++ b/crates/quartzdrift-lab/tests/recovery.rs
@@ -134,6 +134,16 @@
     assert_eq!(disks[..6], seen.map(Some));
 }
 
+#[test]
+fn a_folder_restored_from_a_copy_of_the_same_start_is_known_by_what_others_were_told() {
+    let day = played(
+        "gateways 3\nlength 12s\nat 1s copy gateway 0\nat 8s kill gateway 0\nat 8100ms spoil gateway 0 older\n\
+         at 8200ms start gateway 0",
+        14,
+    );
+    assert_eq!(kinds(&day)[0].map(|(_, disk)| disk), Some(Disk::Old));
+}
+
 #[test]
 fn a_gateway_without_room_on_its_disk_takes_nothing_it_cannot_keep() {
     let day = played(
--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -16,6 +16,9 @@
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// Others of whom starts are remembered at most.
 const SEEN_MOST: usize = 4096;
+/// Members told of a note, and how old it is then at least: it was written beside the loop.
+const NOTES_TO: usize = 3;
+const NOTED_AFTER: Duration = Duration::from_millis(1500);
 /// Missed timers have their jobs taken before anything is loaded ahead.
 const TIMERS_FIRST: Duration = Duration::from_secs(1);
 /// Told to whom comes while others are still asked.
@@ -149,6 +152,11 @@
     /// Highest starts heard of others; what it was before a member's present start.
     seen: BTreeMap<String, u64>,
     before: BTreeMap<String, (u64, u64)>,
+    /// Notes of this start; the latest note heard of others with the start that it is of, and what that was before their present one.
+    notes: u64,
+    /// When members were last told, and the note of that moment, which they are told of next.
+    noted: (Duration, u64),
+    seen_notes: BTreeMap<String, (u64, u64)>,
     /// Members that counted and those met since.
     asked: BTreeMap<String, Asked>,
     met: BTreeSet<String>,
@@ -185,6 +193,9 @@
             begun: now,
             starts: mark.starts.max(settings.store.unwrap_or(0)) + 1,
             seen: mark.seen,
+            notes: 0,
+            noted: (now, 0),
+            seen_notes: mark.seen_notes,
             before: BTreeMap::new(),
             asked,
             met: BTreeSet::new(),
@@ -246,9 +257,30 @@
             at,
             back_at: self.back_at,
             seen: self.seen.clone(),
+            notes: self.notes,
+            seen_notes: self.seen_notes.clone(),
         }
     }
 
+    /// The mark is noted anew. A few members are told, to remember it for us, of the note of some time ago, which lasts by
+    /// now: a folder restored from a copy is known by it.
+    pub fn note(&mut self, now: Duration) {
+        self.notes += 1;
+        let (at, notes) = self.noted;
+        if now < at + NOTED_AFTER {
+            return;
+        }
+        self.noted = (now, self.notes);
+        if self.met.is_empty() || notes == 0 {
+            return;
+        }
+        let bytes = Said::Noted { starts: self.starts, notes }.bytes();
+        // Each in its turn, so that all know one that is not far behind.
+        let first = (notes as usize * NOTES_TO) % self.met.len();
+        let to = self.met.iter().cycle().skip(first).take(NOTES_TO.min(self.met.len()));
+        self.outputs.extend(to.map(|to| Output::Tell { to: to.clone(), bytes: bytes.clone() }));
+    }
+
     /// A planned stop: all that was open has its final answer.
     pub fn stopped(&mut self) {
         self.stopped = true;
@@ -304,13 +336,21 @@
         match Said::read(bytes)? {
             Said::Ask { me } => {
                 let yours = self.see(from, &me);
-                let said = Said::Answer { me: self.about(now), yours };
+                let notes =
+                    self.seen_notes.get(from).filter(|(starts, _)| *starts == yours).map_or(0, |of| of.1);
+                let said = Said::Answer { me: self.about(now), yours, notes };
                 self.outputs.push(Output::Tell { to: from.to_owned(), bytes: said.bytes() });
             }
-            Said::Answer { me, yours } => {
+            Said::Noted { starts, notes } => {
+                let room = self.seen_notes.len() < SEEN_MOST || self.seen_notes.contains_key(from);
+                if let Some(seen) = room.then(|| self.seen_notes.entry(from.to_owned()).or_default()) {
+                    *seen = (*seen).max((starts, notes));
+                }
+            }
+            Said::Answer { me, yours, notes } => {
                 self.see(from, &me);
                 if let Some(asked) = self.asked.get_mut(from).filter(|asked| asked.heard.is_none()) {
-                    asked.heard = Some(Heard { me, yours });
+                    asked.heard = Some(Heard { me, yours, notes });
                 }
                 // It may come from one that heard of this very start before: that is no later one.
                 self.judge_if_told(now);
@@ -625,7 +665,7 @@
 
     fn answer(up: Duration, was_clean: bool) -> Vec<u8> {
         let me = About { starts: 9, life: 1, up_ms: up.as_millis() as u64, was_clean, full: false };
-        Said::Answer { me, yours: 4 }.bytes()
+        Said::Answer { me, yours: 4, notes: 0 }.bytes()
     }
 
     fn stages(of: &mut Recovery) -> Vec<Stage> {
@@ -767,7 +807,7 @@
             other.outputs().into_iter().find_map(|output| match output {
                 Output::Tell { bytes, .. } => match Said::read(&bytes) {
                     Ok(Said::Answer { yours, .. }) => Some(yours),
-                    Ok(Said::Ask { .. } | Said::Copies { .. }) | Err(_) => None,
+                    Ok(Said::Ask { .. } | Said::Copies { .. } | Said::Noted { .. }) | Err(_) => None,
                 },
                 Output::Judged(_) | Output::Stage(_) | Output::TellMeasured => None,
             })
--- a/crates/quartzdrift-recovery/src/start.rs
+++ b/crates/quartzdrift-recovery/src/start.rs
@@ -30,6 +30,11 @@
     pub back_at: Option<Duration>,
     /// The highest starts heard of others, by name.
     pub seen: BTreeMap<String, u64>,
+    /// Counts the notes of this start, and the latest note told by others with the start that it is of, by name.
+    #[serde(default)]
+    pub notes: u64,
+    #[serde(default)]
+    pub seen_notes: BTreeMap<String, (u64, u64)>,
 }
 
 /// What became of the disk.
@@ -124,6 +129,9 @@
     pub others_full: bool,
     /// The highest of our earlier starts that the mark or anybody knows of.
     pub latest: u64,
+    /// Somebody knows of a later note of that very start: the folder is a copy made within it.
+    #[serde(default)]
+    pub noted_later: bool,
 }
 
 /// One member's answer: what it says of itself, and of us.
@@ -131,13 +139,17 @@
 pub struct Heard {
     pub me: About,
     pub yours: u64,
+    /// The latest note of that start that it was told of.
+    pub notes: u64,
 }
 
 /// Judges a start by what was found and what was `heard`; `silent` members counted before and did not answer.
 pub fn judge(found: &Found, heard: &[Heard], silent: usize, up: Duration) -> Verdict {
     let starts = found.mark.as_ref().map_or(0, |mark| mark.starts);
     let latest = heard.iter().map(|h| h.yours).max().unwrap_or(0).max(starts);
-    let later = latest > starts;
+    let noted = found.mark.as_ref().map_or(0, |mark| mark.notes);
+    let noted_later = latest == starts && heard.iter().any(|h| h.yours == starts && h.notes > noted);
+    let later = latest > starts || noted_later;
     let disk = match found.disk {
         Disk::Whole if later => Disk::Old,
         Disk::Empty if later => Disk::Gone,
@@ -167,7 +179,7 @@
         false => Kind::CrashOfOne,
     };
     let others_full = heard.iter().any(|h| h.me.full);
-    Verdict { kind, disk, answered: heard.len(), lost, silent, others_full, latest }
+    Verdict { kind, disk, answered: heard.len(), lost, silent, others_full, latest, noted_later }
 }
 
 /// Whether those who answered so far prove that many were lost, whatever the others of `asked` members will say.
@@ -205,7 +217,7 @@
 
     fn heard(up: u64, was_clean: bool, yours: u64) -> Heard {
         let me = About { starts: 1, life: 1, up_ms: up * 1000, was_clean, full: false };
-        Heard { me, yours }
+        Heard { me, yours, notes: 0 }
     }
 
     fn kind(found: &Found, heard: &[Heard], silent: usize) -> (Kind, Disk) {
@@ -269,6 +281,17 @@
         assert_eq!((foreign.disk, foreign.was_clean(), foreign.known.len()), (Disk::Foreign, false, 0));
     }
 
+    #[test]
+    fn a_copy_made_within_the_same_start_is_older_than_a_note_that_others_heard_of() {
+        let mut copy = found(false, 1, "k");
+        copy.mark.as_mut().unwrap().notes = 3;
+        for (yours, notes, disk) in [(4, 3, Disk::Whole), (4, 4, Disk::Old), (3, 9, Disk::Whole)] {
+            let heard = Heard { notes, ..heard(900, true, yours) };
+            let verdict = judge(&copy, &[heard], 0, S);
+            assert_eq!((verdict.disk, verdict.noted_later), (disk, disk == Disk::Old), "{yours} {notes}");
+        }
+    }
+
     #[test]
     fn power_lost_again_before_the_start_was_judged_is_a_loss_still() {
         let mut again = found(false, 1, "k");
--- a/crates/quartzdrift-recovery/src/topics.rs
+++ b/crates/quartzdrift-recovery/src/topics.rs
@@ -31,7 +31,10 @@
     /// This is me; what do you know of me?
     Ask { me: About },
     /// This is me. Before the start that you told of, the highest of your starts that I know is `yours`; 0: none.
-    Answer { me: About, yours: u64 },
+    /// And `notes`, the latest note of that start that I was told of.
+    Answer { me: About, yours: u64, notes: u64 },
+    /// So many notes of this start last on my disk.
+    Noted { starts: u64, notes: u64 },
     /// What is known of functions' copies while they return after a loss, each by the number of its name.
     Copies { pieces: Vec<Piece> },
 }
@@ -79,7 +82,7 @@
         ) {
             let me = About { starts, life, up_ms, was_clean, full };
             let pieces = functions.iter().map(|of| (*of, Copy::Tried)).collect();
-            for said in [Said::Ask { me: me.clone() }, Said::Answer { me, yours }, Said::Copies { pieces }] {
+            for said in [Said::Ask { me: me.clone() }, Said::Answer { me, yours, notes: life }, Said::Noted { starts, notes: yours }, Said::Copies { pieces }] {
                 proptest::prop_assert!(said.bytes().len() <= BYTES_MOST);
                 proptest::prop_assert_eq!(Said::read(&said.bytes()), Ok(said));
             }
--- a/crates/quartzdrift-recovery/src/trust.rs
+++ b/crates/quartzdrift-recovery/src/trust.rs
@@ -33,7 +33,7 @@
 /// Whether a deferred job that the store shows as waiting may have run all the same: the store was last opened by the start
 /// numbered `store`, and there was a later one. `None`: an earlier release wrote it. Guards "no effect twice".
 pub fn waiting_in_doubt(verdict: &Verdict, store: Option<u64>) -> bool {
-    store.is_some_and(|starts| starts < verdict.latest)
+    store.is_some_and(|starts| starts < verdict.latest || verdict.noted_later && starts == verdict.latest)
 }
 
 /// The table for one start, for whoever looks at it.
@@ -74,9 +74,21 @@
 
     #[test]
     fn what_power_took_is_not_believed_and_an_older_store_is_doubted() {
+        let within = Verdict {
+            kind: Kind::LossOfMany,
+            disk: Disk::Old,
+            answered: 1,
+            lost: 1,
+            silent: 0,
+            others_full: false,
+            latest: 4,
+            noted_later: true,
+        };
+        assert!(waiting_in_doubt(&within, Some(4)), "a copy made within the same start");
         for kind in [Kind::First, Kind::Planned, Kind::CrashOfOne, Kind::LossOfMany] {
             let (answered, lost, silent, others_full) = (0, 0, 0, false);
-            let verdict = Verdict { kind, disk: Disk::Whole, answered, lost, silent, others_full, latest: 4 };
+            let (disk, noted_later) = (Disk::Whole, false);
+            let verdict = Verdict { kind, disk, answered, lost, silent, others_full, latest: 4, noted_later };
             let many = kind == Kind::LossOfMany;
             assert_eq!((repeats_known(&verdict, false), repeats_known(&verdict, true)), (!many, true));
             for (store, doubted) in [(None, false), (Some(3), true), (Some(4), false), (Some(5), false)] {
--- a/crates/quartzdrift/src/gateway/recovery.rs
+++ b/crates/quartzdrift/src/gateway/recovery.rs
@@ -156,6 +156,7 @@
         let (now, at) = (self.now(), self.clock.note());
         let (Some(returning), Some(saver)) = (&mut self.returning, &self.saver) else { return };
         returning.note_at = now + NOTE_EVERY;
+        returning.machine.note(now);
         // Until the module has been told of it, what an earlier start measured stays.
         if !returning.machine.keeps_measured()
             && let Ok(bytes) = postcard::to_stdvec(self.desk.measured())
