--- a/crates/quartzdrift-lab/src/losses.rs
+++ b/crates/quartzdrift-lab/src/losses.rs
@@ -90,7 +90,8 @@
     let (first, last) = (*offs.first()?, *offs.last()?);
     let back =
         moments(|t| matches!(t, Trouble::PowerOnGateway(_) | Trouble::Start(_))).find(|at| *at > last)?;
-    let (mut calls, mut keys): (BTreeMap<u64, &str>, BTreeMap<&str, (f64, f64, bool)>) = Default::default();
+    let mut calls: BTreeMap<u64, &str> = BTreeMap::new();
+    let mut keys: BTreeMap<&str, (f64, f64, bool)> = BTreeMap::new();
     // The record began before the troubles' clock, at the first gateway's start.
     let start = day.lines.iter().find(|line| matches!(line.seen, Seen::Asked { .. }))?.at_us as f64 / 1e6;
     for line in &day.lines {
