--- a/crates/quartzdrift-recovery/src/backlog.rs
+++ b/crates/quartzdrift-recovery/src/backlog.rs
@@ -12,7 +12,7 @@
 const CALM: u32 = 2;
 /// Past half of what was too much the backlog grows by such a part of it a second: a second that is too much costs synchronous
 /// work more than a slow one costs the backlog.
-const SLOWLY: usize = 16;
+const SLOWLY: usize = 32;
 
 /// Deferred jobs out at a time, while those that waited over a loss catch up beside synchronous work.
 #[derive(Debug)]
