--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -777,6 +777,13 @@
             of.due(now);
         }
         assert!(of.view(now).pace.is_none() && !measured(&mut of), "told once");
+        // Of many members one that ended as well proves nothing; more than one in ten do.
+        let many: Vec<String> = (0..32).map(|n| format!("m{n}")).collect();
+        let mut few = lost("a", &many.iter().map(String::as_str).collect::<Vec<_>>());
+        for (n, name) in many.iter().take(3).enumerate() {
+            few.told(ZERO, name, &answer(S, false)).unwrap();
+            assert_eq!(few.view(ZERO).pace.is_some(), n == 2, "{n}");
+        }
         // One of seventeen that crashed alone meets no pace; nor does one that stopped as planned.
         let mut one = lost("a", &known.iter().map(String::as_str).collect::<Vec<_>>());
         known.iter().for_each(|name| one.told(ZERO, name, &answer(S * 900, true)).unwrap());
