--- a/crates/quartzdrift-lab/src/badday.rs
+++ b/crates/quartzdrift-lab/src/badday.rs
@@ -43,6 +43,8 @@
     pub executions: usize,
     pub waited_for_load: usize,
     pub fetches: usize,
+    /// Of the fetches, those that the store turned away.
+    pub refused: usize,
     /// How each gateway that was there at the end had come back.
     pub views: Vec<Option<View>>,
 }
@@ -637,8 +639,9 @@
     let executions = count(|seen| matches!(seen, Seen::Came { .. }));
     let waited_for_load = count(|seen| matches!(seen, Seen::Began { warm: false, .. }));
     let fetches = count(|seen| matches!(seen, Seen::Fetch { .. }));
+    let refused = count(|seen| matches!(seen, Seen::FetchRefused { .. }));
     let tally = tally.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    Ok(Day { lines, terms, broken, tally, executions, waited_for_load, fetches, views })
+    Ok(Day { lines, terms, broken, tally, executions, waited_for_load, fetches, refused, views })
 }
 
 /// Writes a day's terms and record, one JSON object a line.
--- a/crates/quartzdrift-lab/src/main.rs
+++ b/crates/quartzdrift-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 use quartzdrift_lab::{
-    actor, audit, badday, day, emulate, experiment, load, losses, measure, naive, record, roster, script,
-    store, traffic, worker,
+    actor, audit, badday, day, emulate, experiment, load, losses, measure, naive, roster, script, store,
+    traffic, worker,
 };
 
 use clap::{Parser, Subcommand};
@@ -433,8 +433,7 @@
             day.fetches
         );
         if let Some(back) = losses::returned(&day, &script) {
-            let refused =
-                day.lines.iter().filter(|l| matches!(l.seen, record::Seen::FetchRefused { .. })).count();
+            let refused = day.refused;
             println!("as before {back:.2} s after power came back; the store turned {refused} fetches away");
         }
         if let Some(path) = record
--- a/crates/quartzdrift-recovery/src/recovery.rs
+++ b/crates/quartzdrift-recovery/src/recovery.rs
@@ -152,10 +152,11 @@
     /// Highest starts heard of others; what it was before a member's present start.
     seen: BTreeMap<String, u64>,
     before: BTreeMap<String, (u64, u64)>,
-    /// Notes of this start; the latest note heard of others with the start that it is of, and what that was before their present one.
+    /// Notes of this start.
     notes: u64,
     /// When members were last told, and the note of that moment, which they are told of next.
     noted: (Duration, u64),
+    /// The start and the note of it that others told last, by name; kept for them.
     seen_notes: BTreeMap<String, (u64, u64)>,
     /// Members that counted and those met since.
     asked: BTreeMap<String, Asked>,
