--- a/crates/quartzdrift-lab/src/platform.rs
+++ b/crates/quartzdrift-lab/src/platform.rs
@@ -357,6 +357,13 @@
         self.send(connection, &out);
     }
 
+    /// Answers on a connection that may have ended.
+    pub fn try_answer(&mut self, connection: usize, code: u8, id: u64, body: &[u8]) {
+        let mut out = Vec::new();
+        frame::write(&mut out, frame::FROM_WORKER, code, id, b"report=queue:0", body);
+        let _ = self.connections[connection].write_all(&out);
+    }
+
     pub fn close(&mut self, connection: usize) {
         let _ = self.connections[connection].shutdown(std::net::Shutdown::Both);
     }
--- a/crates/quartzdrift-lab/src/stage.rs
+++ b/crates/quartzdrift-lab/src/stage.rs
@@ -75,8 +75,11 @@
     command
 }
 
+/// Starts a scheduler that logs to a file beside its configuration.
 fn started(lab: &str, file: &Path) -> (Child, BufReader<ChildStdout>, SocketAddr) {
-    let mut child = scheduler(lab, file).spawn().expect("the scheduler starts");
+    let log = std::fs::File::create(file.with_extension("log")).expect("a file for its log");
+    let mut command = scheduler(lab, file);
+    let mut child = command.stderr(log).spawn().expect("the scheduler starts");
     let mut out = BufReader::new(child.stdout.take().expect("its output"));
     let at = listens_at(&mut out).expect("the scheduler says where it listens");
     (child, out, at)
@@ -160,6 +163,24 @@
         self.child.wait().expect("it ends")
     }
 
+    /// Waits for its end until `at`; returns whether it has ended well by then.
+    pub fn ends_by(&mut self, at: Instant) -> bool {
+        loop {
+            if let Some(status) = self.child.try_wait().expect("it can be waited for") {
+                return status.success();
+            }
+            if Instant::now() >= at {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// What it has logged since its last start.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.file.with_extension("log")).expect("its log can be read")
+    }
+
     /// Has it read a configuration with this coordinator and these known events, by SIGHUP.
     pub fn hang_up(&self, coordinator: SocketAddr, known: &str) {
         std::fs::write(&self.file, config(coordinator, known)).expect("the configuration is written");
--- a/crates/quartzdrift/src/platform/client_connection.rs
+++ b/crates/quartzdrift/src/platform/client_connection.rs
@@ -107,6 +107,7 @@
         if client.deadline == DeadlineReason::Closing {
             let unread = socket.input.len();
             socket.consume(unread);
+            self.counts.discarded_bytes += unread as u64;
             if ended {
                 self.close_client(id);
             }
@@ -121,6 +122,8 @@
         if !output.is_empty() {
             self.write(id, &output);
         }
+        let is_request = |event: &&Event| !matches!(event, Event::Aborted { .. });
+        self.counts.received += received.iter().filter(is_request).count() as u64;
         for message in received {
             if self.sockets.get(id).is_none() {
                 // The connection was closed over an answer: nobody waits for what else came on it.
--- a/crates/quartzdrift/src/platform/counts.rs
+++ b/crates/quartzdrift/src/platform/counts.rs
@@ -3,6 +3,10 @@
 /// Counts since the start, for the last line of the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
+    /// Whole requests that were read from clients, checks and invalid ones included.
+    pub received: u64,
+    /// Bytes that were read from clients whose connections were about to be closed, and not looked at.
+    pub discarded_bytes: u64,
     /// Requests that were admitted.
     pub taken: u64,
     /// Requests that succeeded.
