run: connections end behind an answer in a stop, with nothing read that is not answered

Cause: at the end of a stop all clients got half a close, and what they sent until they noticed was read and thrown away (close notice in accept.rs, the Closing branch of drive_client): one request of each busy connection. Now the listener is closed first, with nothing waiting in its queue, then each connection when a last read finds nothing, all is answered and sent (closing.rs); new requests are rejected at once near the kill. Stops with timeouts under 0.15 s keep 0.65 s for clients that still come. The unit test of the close notice is replaced by one of the phases for six timeouts: the notice is gone, and the socket tests of slow clients and half requests stand unchanged.

--- a/crates/quartzdrift-http/src/socket.rs
+++ b/crates/quartzdrift-http/src/socket.rs
@@ -1,5 +1,7 @@
 //! One TCP connection: its buffers, and how far it was read and sent.
 use calloop::RegistrationToken;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -99,6 +101,22 @@
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
+    /// Whether all that was written has been sent to the peer, as far as the system can tell: nothing waits for room in the
+    /// peer's buffer. Closing a connection while the peer sends destroys what has not been sent.
+    pub fn is_all_sent(&self) -> bool {
+        let socket = SockRef::from(&*self.stream);
+        // Where the system does not know the option, what it has taken counts as sent.
+        if self.unsent() > 0 || socket.set_tcp_notsent_lowat(1).is_err() {
+            return self.unsent() == 0;
+        }
+        let no_wait = Timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
+        let mut polled = [PollFd::new(&*self.stream, PollFlags::OUT)];
+        poll(&mut polled, Some(&no_wait)).map_or(true, |ready| ready > 0)
+    }
+
     /// The peer's address.
     pub fn peer(&self) -> Option<SocketAddr> {
         self.stream.peer_addr().ok()
--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -44,6 +44,8 @@
     deadlines: BTreeSet<(Instant, SocketId)>,
     /// Whether connections may wait to be accepted.
     is_acceptable: bool,
+    /// Whether the last look at the listeners left no connection waiting.
+    accepted_all: bool,
     /// When a pause in accepting ends.
     accept_again: Option<Instant>,
     scratch: Vec<u8>,
@@ -63,6 +65,7 @@
             dirty: Vec::new(),
             deadlines: BTreeSet::new(),
             is_acceptable: false,
+            accepted_all: true,
             accept_again: None,
             scratch: vec![0; READ_SIZE],
             opened: 0,
@@ -122,6 +125,16 @@
         }
     }
 
+    /// Whether connections are accepted.
+    pub fn is_listening(&self) -> bool {
+        !self.listeners.is_empty()
+    }
+
+    /// Whether no connection was left waiting when connections were last accepted.
+    pub fn accepted_all(&self) -> bool {
+        self.accepted_all
+    }
+
     /// Lets the next [`Sockets::accept`] look for connections, whatever the loop has reported.
     pub fn look_for_connections(&mut self) {
         self.is_acceptable = true;
@@ -134,6 +147,7 @@
         if !std::mem::take(&mut self.is_acceptable) {
             return accepted;
         }
+        self.accepted_all = false;
         for at in 0..self.listeners.len() {
             while accepted.len() < MAX_ACCEPTED_PER_TURN {
                 match self.listeners[at].0.accept() {
@@ -148,6 +162,7 @@
                 }
             }
         }
+        self.accepted_all = accepted.len() < MAX_ACCEPTED_PER_TURN;
         accepted
     }
 
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -7,10 +7,11 @@
 //! * `workers`, `connections`, `worker_connection`: the table of workers and their connections.
 //! * `commands`, `answers`: attempts on connections, and their results.
 //! * `coordinator`: the list of workers.
-//! * `shutdown`: the phases of a graceful shutdown.
+//! * `shutdown`, `closing`: the phases of a graceful shutdown, and how clients' connections end in it.
 mod accept;
 mod answers;
 mod client_connection;
+mod closing;
 mod commands;
 mod connections;
 mod coordinator;
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -342,30 +342,22 @@
     }
 
     /// Whether a shutdown is complete; to be asked after every turn.
-    ///
-    /// What has arrived by the moment in which nothing is open any more is served too. Then clients are told that their
-    /// connections end, and what they still send is read: closing a connection with unread bytes destroys the answers that
-    /// are on their way.
     pub fn stopped(&mut self) -> bool {
         let now = self.now();
         let Some(shutdown) = &self.shutdown else {
             return false;
         };
-        let answered = || self.request_table.open_requests() == 0 && !self.has_unsent_answers();
-        match shutdown.next_step(now, self.clients, answered) {
-            Step::Exit => true,
+        match shutdown.next_step(now) {
             Step::Wait => false,
-            Step::CloseIfQuiet => self.is_quiet() && self.close_all_clients(now),
-        }
-    }
-
-    /// Tells all clients that their connections end; returns whether there are none.
-    fn close_all_clients(&mut self, now: Duration) -> bool {
-        self.send_close_notice();
-        if let Some(shutdown) = &mut self.shutdown {
-            shutdown.begin_closing(now);
+            Step::CloseIdle => {
+                self.close_idle_clients();
+                self.clients == 0 && !self.sockets.is_listening()
+            }
+            Step::Exit => {
+                self.answer_last_requests();
+                true
+            }
         }
-        self.clients == 0
     }
 
     /// Takes up a new configuration (SIGHUP): its coordinator is followed from the next poll on; all else goes on as it was.
--- a/crates/quartzdrift/src/platform/shutdown.rs
+++ b/crates/quartzdrift/src/platform/shutdown.rs
@@ -1,57 +1,52 @@
 //! The phases of a graceful shutdown and their deadlines. No I/O: the event loop asks for the next step and carries it out.
 //!
 //! ```text
-//! SIGTERM -> Draining -> Closing -> exit
-//!               |           |
-//!               | nothing is open, no answer waits, and nothing more has arrived
-//!               +-----------+
+//! SIGTERM -> draining -> closing -> exit
 //! ```
 //!
-//! The process exits before SIGKILL is due, whatever the phase.
+//! While draining, all clients are served. While closing, no connection is accepted any more, and each client's connection is
+//! closed at a moment when nothing is open on it: nothing is read that is not answered, and whatever a client sends into the
+//! close was never read, so that it can send it again elsewhere. The process exits once no client is left, and before SIGKILL
+//! is due whatever the phase.
 use std::time::Duration;
 
-/// How long clients are waited for after SIGTERM. They go on coming for up to 0.6 s (0.4 s on new connections, 0.2 s more on
-/// open ones); the rest is room for a slow machine.
+/// How long clients are served as ever after SIGTERM, where the kill deadline leaves so much.
 const DRAIN_WINDOW: Duration = Duration::from_millis(1200);
+/// New connections come for up to 0.4 s after SIGTERM, and requests that find none open for 0.2 s more (the platform's
+/// protocol); the rest is room for a slow machine.
+const MIN_DRAIN_WINDOW: Duration = Duration::from_millis(650);
 /// SIGKILL may come this long after SIGTERM, past the longest timeout of a request class (the platform's protocol).
 const KILL_DEADLINE: Duration = Duration::from_millis(700);
 /// A longer timeout of a request class counts as this much (the platform's protocol).
 const MAX_TIMEOUT: Duration = Duration::from_secs(3);
-/// Kept before SIGKILL, for the last answers to leave and the process to end on a slow machine.
+/// Kept before SIGKILL, for the last answers to leave and the process to end on a slow machine; less where the timeouts are so
+/// short that clients could not come until then.
 const FLUSH_MARGIN: Duration = Duration::from_millis(200);
-/// How long clients may take to notice that their connections end, which takes a round trip, and to take what they were sent.
-const CLOSE_LINGER: Duration = Duration::from_millis(250);
-
-/// Where a shutdown stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// Clients that still come are served.
-    Draining,
-    /// Clients were told that their connections end, and are waited for until `close_by`.
-    Closing { close_by: Duration },
-}
+/// How long connections are closed, each behind an answer of its own, before what is open is ended.
+const CLOSING_SPAN: Duration = Duration::from_millis(100);
+/// Between two looks at connections that could not be closed yet.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What the event loop is to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Step {
     /// Go on.
     Wait,
-    /// If nothing more has arrived, tell all clients that their connections end.
-    CloseIfQuiet,
-    /// End the process.
+    /// Accept no more connections, and close those on which nothing is open.
+    CloseIdle,
+    /// Answer what has come, and end the process.
     Exit,
 }
 
 /// A shutdown that has begun.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Shutdown {
-    /// Until then newcomers are waited for.
+    /// Until then all clients are served as ever.
     drain_until: Duration,
     /// By then every request has its final answer.
     answer_by: Duration,
     /// Then the process ends, whatever is left.
     exit_by: Duration,
-    phase: Phase,
 }
 
 impl Shutdown {
@@ -61,13 +56,13 @@
             .map(|timeout| timeout.unwrap_or(MAX_TIMEOUT))
             .max()
             .unwrap_or(MAX_TIMEOUT);
-        let kill_at = now + longest.min(MAX_TIMEOUT) + KILL_DEADLINE;
-        let answer_by = kill_at - FLUSH_MARGIN;
+        let kill_after = longest.min(MAX_TIMEOUT) + KILL_DEADLINE;
+        let answer_after = kill_after.saturating_sub(FLUSH_MARGIN).max(MIN_DRAIN_WINDOW);
+        let closing_after = answer_after.saturating_sub(CLOSING_SPAN).max(MIN_DRAIN_WINDOW);
         Shutdown {
-            drain_until: answer_by.min(now + DRAIN_WINDOW),
-            answer_by,
-            exit_by: kill_at - FLUSH_MARGIN / 2,
-            phase: Phase::Draining,
+            drain_until: now + closing_after.min(DRAIN_WINDOW),
+            answer_by: now + answer_after,
+            exit_by: now + (answer_after + kill_after) / 2,
         }
     }
 
@@ -76,35 +71,24 @@
         self.answer_by
     }
 
-    /// What to do now, with so many clients connected. `answered`: whether nothing is open and no answer waits to be sent;
-    /// asked only where it matters.
-    pub(super) fn next_step(&self, now: Duration, clients: usize, answered: impl FnOnce() -> bool) -> Step {
+    /// What to do now.
+    pub(super) fn next_step(&self, now: Duration) -> Step {
         if now >= self.exit_by {
-            return Step::Exit;
+            Step::Exit
+        } else if now >= self.drain_until {
+            Step::CloseIdle
+        } else {
+            Step::Wait
         }
-        match self.phase {
-            Phase::Closing { close_by } if clients == 0 || now >= close_by => Step::Exit,
-            Phase::Draining if now >= self.drain_until && answered() => Step::CloseIfQuiet,
-            Phase::Closing { .. } | Phase::Draining => Step::Wait,
-        }
-    }
-
-    /// Clients were told that their connections end.
-    pub(super) fn begin_closing(&mut self, now: Duration) {
-        let close_by = (now + CLOSE_LINGER).min(self.exit_by);
-        self.phase = Phase::Closing { close_by };
     }
 
     /// The next deadline for which the event loop must wake; none that has passed.
     pub(super) fn next_deadline(&self, now: Duration) -> Option<Duration> {
-        let close_by = match self.phase {
-            Phase::Draining => None,
-            Phase::Closing { close_by } => Some(close_by),
-        };
+        let close_again = (now >= self.drain_until).then_some(now + CLOSE_INTERVAL);
         let deadlines = [
             Some(self.drain_until),
             Some(self.answer_by),
-            close_by,
+            close_again,
             Some(self.exit_by),
         ];
         deadlines.into_iter().flatten().filter(|at| *at > now).min()
--- a/crates/quartzdrift/src/platform/shutdown/tests.rs
+++ b/crates/quartzdrift/src/platform/shutdown/tests.rs
@@ -8,24 +8,17 @@
 fn each_deadline_of_a_shutdown_wakes_the_loop_once() {
     let since = Duration::from_secs(5);
     let ms = Duration::from_millis(1);
-    let draining = shutdown(since, Duration::from_secs(60));
-    assert_eq!(draining.next_deadline(since), Some(since + DRAIN_WINDOW));
-    assert_eq!(
-        draining.next_deadline(since + DRAIN_WINDOW - ms),
-        Some(since + DRAIN_WINDOW)
-    );
+    let shutdown = shutdown(since, Duration::from_secs(60));
+    let drained = since + DRAIN_WINDOW;
+    assert_eq!(shutdown.next_deadline(since), Some(drained));
+    assert_eq!(shutdown.next_deadline(drained - ms), Some(drained));
+    assert_eq!(shutdown.next_deadline(drained), Some(drained + CLOSE_INTERVAL));
+    let last = shutdown.answer_by - ms;
+    assert_eq!(shutdown.next_deadline(last), Some(shutdown.answer_by));
     assert_eq!(
-        draining.next_deadline(since + DRAIN_WINDOW),
-        Some(draining.answer_by)
+        shutdown.next_deadline(shutdown.exit_by - ms),
+        Some(shutdown.exit_by)
     );
-    assert_eq!(draining.next_deadline(draining.answer_by), Some(draining.exit_by));
-    let close_by = since + DRAIN_WINDOW * 2;
-    let closing = Shutdown {
-        phase: Phase::Closing { close_by },
-        ..draining
-    };
-    assert_eq!(closing.next_deadline(since + DRAIN_WINDOW), Some(close_by));
-    assert_eq!(draining.next_deadline(draining.exit_by), None);
 }
 
 #[test]
@@ -46,17 +39,14 @@
 }
 
 #[test]
-fn clients_are_told_once_all_is_answered_and_waited_for_no_longer_than_the_linger() {
+fn clients_are_served_while_they_come_and_then_closed_until_the_exit() {
     let since = Duration::from_secs(5);
-    let mut shutdown = shutdown(since, Duration::from_secs(3));
-    let drained = since + DRAIN_WINDOW;
-    let unasked = || panic!("asked before newcomers had their time");
-    assert_eq!(shutdown.next_step(since, 1, unasked), Step::Wait);
-    assert_eq!(shutdown.next_step(drained, 1, || false), Step::Wait);
-    assert_eq!(shutdown.next_step(drained, 1, || true), Step::CloseIfQuiet);
-    shutdown.begin_closing(drained);
-    assert_eq!(shutdown.next_step(drained, 1, || true), Step::Wait);
-    assert_eq!(shutdown.next_step(drained, 0, || true), Step::Exit);
-    assert_eq!(shutdown.next_step(drained + CLOSE_LINGER, 1, || true), Step::Exit);
-    assert_eq!(shutdown.next_step(shutdown.exit_by, 1, || false), Step::Exit);
+    for timeout in [0, 50, 300, 1500, 3000, 60_000].map(Duration::from_millis) {
+        let shutdown = shutdown(since, timeout);
+        let newcomers = since + Duration::from_millis(600);
+        assert_eq!(shutdown.next_step(newcomers), Step::Wait, "{timeout:?}");
+        assert_eq!(shutdown.next_step(shutdown.drain_until), Step::CloseIdle);
+        assert_eq!(shutdown.next_step(shutdown.answer_by), Step::CloseIdle);
+        assert_eq!(shutdown.next_step(shutdown.exit_by), Step::Exit);
+    }
 }
