Scheduler: a worker's age rests on the list's clock, not on our wall clock

Cause: endpoint_list.rs took a listed start for a time of our own clock, so that a scheduler whose wall clock is an hour ahead took a cold worker for a warm one, and one an hour behind the reverse. Now the newest start that was told gives a lower bound of the list's clock, and a start's age is counted from that (observe_start, age). A worker's age is never overrated; it is underrated by the least lag of the list.

--- a/crates/quartzdrift-scheduler/src/messages.rs
+++ b/crates/quartzdrift-scheduler/src/messages.rs
@@ -15,7 +15,11 @@
 /// A message to the request table or to a worker.
 pub(crate) enum Message {
     /// To a worker: its entry in the endpoint list changed.
-    EndpointUpdated(EndpointRecord),
+    EndpointUpdated {
+        endpoint: EndpointRecord,
+        /// Since the start of its process, at least.
+        age: Duration,
+    },
     /// To a worker: whether it takes a request, and how well.
     Query(PlacementQuery),
     /// To the request table: a worker's answer; `None` if it does not take the request.
--- a/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
@@ -65,7 +65,7 @@
             Message::PlaceRequest(request) => self.place(request),
             Message::QueryAnswered(candidate) => self.collect(candidate),
             Message::WorkerUnresponsive { request, attempt } => self.cancel_attempt(request, attempt),
-            Message::EndpointUpdated(_)
+            Message::EndpointUpdated { .. }
             | Message::Query(_)
             | Message::AttemptStarted(_)
             | Message::AttemptEnded { .. }
@@ -86,7 +86,7 @@
 impl Worker {
     fn receive(&mut self, message: Message, context: Context, mailbox: &mut Mailbox<Message>) {
         match message {
-            Message::EndpointUpdated(endpoint) => self.update_endpoint(endpoint, context),
+            Message::EndpointUpdated { endpoint, age } => self.update_endpoint(endpoint, age, context),
             Message::Query(query) => {
                 let candidate = self.answer(&query, context);
                 mailbox.send_to_request_table(Message::QueryAnswered(candidate));
--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
@@ -3,6 +3,7 @@
 use crate::interface::{Action, Endpoint, EndpointListKind, EndpointState};
 use crate::messages::{EndpointRecord, Message};
 use crate::state::{Context, Scheduler, Worker};
+use std::time::Duration;
 
 impl Scheduler {
     pub(super) fn update_endpoints(&mut self, form: EndpointListKind, entries: &[Endpoint]) {
@@ -16,17 +17,37 @@
         if matches!(form, EndpointListKind::Full | EndpointListKind::Snapshot) {
             for worker in &self.workers {
                 let gone = EndpointRecord { state: EndpointState::Gone, ..worker.endpoint };
-                self.mailbox.send_to_worker(worker.index, Message::EndpointUpdated(gone));
+                let message = Message::EndpointUpdated { endpoint: gone, age: Duration::ZERO };
+                self.mailbox.send_to_worker(worker.index, message);
             }
         }
         self.listed_is_stale = true;
+        for started in entries.iter().filter_map(|entry| entry.started) {
+            self.observe_start(started);
+        }
         for entry in entries {
             let worker = self.worker_index(entry.worker);
-            let record = EndpointRecord { worker: "", ..*entry };
-            self.mailbox.send_to_worker(worker, Message::EndpointUpdated(record));
+            let endpoint = EndpointRecord { worker: "", ..*entry };
+            let age = entry.started.map_or(Duration::ZERO, |started| self.age(started));
+            self.mailbox.send_to_worker(worker, Message::EndpointUpdated { endpoint, age });
+        }
+    }
+
+    /// Starts are told on the list's clock, of which ours may be off by any span. That clock shows at least the
+    /// newest start when we are told of it, and runs on as ours does.
+    fn observe_start(&mut self, started: Duration) {
+        let is_newest = self.latest_start.is_none_or(|(latest, told)| started + told > latest + self.now);
+        if is_newest {
+            self.latest_start = Some((started, self.now));
         }
     }
 
+    /// How long ago a process was started, at least.
+    fn age(&self, started: Duration) -> Duration {
+        let (latest, told) = self.latest_start.unwrap_or((started, self.now));
+        (latest + self.now).saturating_sub(told + started)
+    }
+
     pub(super) fn tick(&mut self) {
         for worker in &self.workers {
             if worker.endpoint.state != EndpointState::Gone || !worker.attempts.is_empty() {
@@ -41,13 +62,14 @@
 }
 
 impl Worker {
-    pub(super) fn update_endpoint(&mut self, endpoint: EndpointRecord, context: Context) {
+    /// `age`: since the start that the list names, at least.
+    pub(super) fn update_endpoint(&mut self, endpoint: EndpointRecord, age: Duration, context: Context) {
         if endpoint.state == EndpointState::Gone && self.endpoint.state != EndpointState::Gone {
             self.gone_since = context.now;
         }
         if endpoint.started > self.endpoint.started {
             // A new process is empty, and the old one's failures are not its own.
-            self.warming_since = endpoint.started;
+            self.warming_since = Some(context.now.saturating_sub(age));
             self.cache.clear();
             self.health.clear();
         }
--- a/crates/quartzdrift-scheduler/src/state/scheduler.rs
+++ b/crates/quartzdrift-scheduler/src/state/scheduler.rs
@@ -49,6 +49,8 @@
     pub(crate) quota_loads: Window,
     pub(crate) prefetch_paused_until: Duration,
     pub(crate) prefetch_durations: Histogram,
+    /// The start of a process by which the endpoint list's clock is known best, and when it was told.
+    pub(crate) latest_start: Option<(Duration, Duration)>,
     /// When to watch the endpoint list.
     pub(crate) watch_at: Option<Duration>,
     /// Actions of the event at hand.
