--- a/crates/quartzdrift-lab/src/stage.rs
+++ b/crates/quartzdrift-lab/src/stage.rs
@@ -76,9 +76,8 @@
 }
 
 /// Starts a scheduler that logs to a file beside its configuration.
-fn started(lab: &str, file: &Path) -> (Child, BufReader<ChildStdout>, SocketAddr) {
+fn started(mut command: Command, file: &Path) -> (Child, BufReader<ChildStdout>, SocketAddr) {
     let log = std::fs::File::create(file.with_extension("log")).expect("a file for its log");
-    let mut command = scheduler(lab, file);
     let mut child = command.stderr(log).spawn().expect("the scheduler starts");
     let mut out = BufReader::new(child.stdout.take().expect("its output"));
     let at = listens_at(&mut out).expect("the scheduler says where it listens");
@@ -99,6 +98,27 @@
 
     /// `changes`: parts of the configuration and what stands in their place.
     pub fn with(lab: &str, workers: usize, changes: &[(&str, &str)]) -> Stage {
+        Stage::launched(workers, changes, &|file| scheduler(lab, file))
+    }
+
+    /// A scheduler some of whose system calls fail. `failures`: each as strace(1) takes it after `inject=`.
+    pub fn failing(lab: &str, workers: usize, failures: &[&str]) -> Stage {
+        Stage::launched(workers, &[], &|file| {
+            // The scheduler is the process that is started, and strace follows it from beside.
+            let mut command = Command::new("strace");
+            command.args(["-D", "-f", "-qq", "-o", "/dev/null"]);
+            for failure in failures {
+                command.args(["-e", &format!("inject={failure}")]);
+            }
+            command
+                .args([lab, "scheduler"])
+                .env("GW_CONFIG", file)
+                .stdout(Stdio::piped());
+            command
+        })
+    }
+
+    fn launched(workers: usize, changes: &[(&str, &str)], launch: &dyn Fn(&Path) -> Command) -> Stage {
         let workers: Vec<Worker> = (0..workers).map(|_| Worker::start().expect("a worker")).collect();
         let targets: Vec<String> = workers
             .iter()
@@ -114,7 +134,7 @@
             text = text.replace(old, new);
         }
         std::fs::write(&file, text).expect("the configuration is written");
-        let (child, out, at) = started(lab, &file);
+        let (child, out, at) = started(launch(&file), &file);
         Stage {
             child,
             at,
@@ -212,7 +232,7 @@
         let text = std::fs::read_to_string(&self.file).expect("its configuration");
         let text = text.replace("127.0.0.1:0", &self.at.to_string());
         std::fs::write(&self.file, text).expect("the configuration is written");
-        (self.child, self.out, self.at) = started(lab, &self.file);
+        (self.child, self.out, self.at) = started(scheduler(lab, &self.file), &self.file);
     }
 
     /// All commands that reached a worker and were not yet taken; the scheduler is killed first.
