Sockets: an error of a newcomer is its own, accepting is bounded in a turn, ENFILE closes nobody

Cause: Sockets::accept took every error but EINTR and ECONNABORTED for a lack of descriptors, paused and closed the client that was silent longest; ECONNABORTED was tried again without bound. Now each errno of accept(2) is one of: none waits, the newcomer failed, no descriptor of ours (a silent client makes room), the system (a pause alone), with 64 tries a turn. Errors of connect(2) for want of a route or a right say nothing of the worker: the request goes on elsewhere and the worker keeps its cache entries. system_calls.rs: 3 of 5 tests failed, all pass; closes, floods, platform, crossings, soak pass.

--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -18,9 +18,9 @@
 #[cfg(test)]
 mod tests;
 
-/// Maximum connections accepted in one turn of the loop, so that a flood of them leaves time for the others.
+/// Maximum tries to accept a connection in one turn of the loop, so that a flood of them leaves time for the others.
 const MAX_ACCEPTED_PER_TURN: usize = 64;
-/// How long accepting pauses after the process ran out of descriptors.
+/// How long accepting pauses where it fails as a whole.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Identifies a socket; an id is never used twice.
@@ -140,37 +140,55 @@
         self.is_acceptable = true;
     }
 
-    /// Accepts the connections that wait, at most `MAX_ACCEPTED_PER_TURN`. Where the process has run out of descriptors, the
-    /// idle socket that has been silent longest is overdue at once.
+    /// Accepts the connections that wait, with at most `MAX_ACCEPTED_PER_TURN` tries. Where the process has run out of
+    /// descriptors, the idle socket that has been silent longest is overdue at once.
     pub fn accept(&mut self, is_idle: impl Fn(&Socket<T>) -> bool) -> Vec<TcpStream> {
         let mut accepted = Vec::new();
         if !std::mem::take(&mut self.is_acceptable) {
             return accepted;
         }
         self.accepted_all = false;
+        let (mut tries, mut drained) = (0, 0);
         for at in 0..self.listeners.len() {
-            while accepted.len() < MAX_ACCEPTED_PER_TURN {
+            while tries < MAX_ACCEPTED_PER_TURN {
+                tries += 1;
                 match self.listeners[at].0.accept() {
                     Ok((stream, _)) => accepted.push(stream),
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                    Err(_) => {
-                        self.pause_accepting(&is_idle);
-                        return accepted;
-                    }
+                    Err(e) => match AcceptError::of(&e) {
+                        AcceptError::NoneWaiting => {
+                            drained += 1;
+                            break;
+                        }
+                        AcceptError::Newcomer => {}
+                        AcceptError::NoDescriptor => {
+                            self.make_room(&is_idle);
+                            self.pause_accepting();
+                            return accepted;
+                        }
+                        AcceptError::System => {
+                            self.pause_accepting();
+                            return accepted;
+                        }
+                    },
                 }
             }
         }
-        self.accepted_all = accepted.len() < MAX_ACCEPTED_PER_TURN;
+        self.accepted_all = drained == self.listeners.len();
+        if !self.accepted_all && accepted.is_empty() {
+            self.pause_accepting();
+        }
         accepted
     }
 
-    /// The process is out of descriptors or memory: a level-triggered listener would make the loop spin.
-    fn pause_accepting(&mut self, is_idle: impl Fn(&Socket<T>) -> bool) {
+    /// Has the idle socket whose peer has been silent longest overdue at once.
+    fn make_room(&mut self, is_idle: impl Fn(&Socket<T>) -> bool) {
         if let Some(id) = self.longest_silent(is_idle) {
             self.set_deadline(id, Some(Duration::ZERO));
         }
+    }
+
+    /// Accepting fails as a whole: a level-triggered listener would make the loop spin.
+    fn pause_accepting(&mut self) {
         for (_, token) in &self.listeners {
             // An error here means that the loop itself is broken; the next turn will show it.
             let _ = self.handle.disable(token);
@@ -401,6 +419,42 @@
     }
 }
 
+/// What an error of accept(2) says.
+enum AcceptError {
+    /// No connection waits.
+    NoneWaiting,
+    /// The connection that was next has failed, or the call was interrupted: others may wait behind it.
+    Newcomer,
+    /// The process has no descriptor left.
+    NoDescriptor,
+    /// The system has no room for the moment, or something else is wrong with accepting.
+    System,
+}
+
+impl AcceptError {
+    fn of(error: &io::Error) -> AcceptError {
+        match error.raw_os_error().unwrap_or_default() {
+            libc::EAGAIN => AcceptError::NoneWaiting,
+            libc::EMFILE => AcceptError::NoDescriptor,
+            // Linux passes pending network errors of the new connection on.
+            libc::EINTR
+            | libc::ECONNABORTED
+            | libc::EPROTO
+            | libc::ENOPROTOOPT
+            | libc::EOPNOTSUPP
+            | libc::ENETDOWN
+            | libc::ENETUNREACH
+            | libc::EHOSTDOWN
+            | libc::EHOSTUNREACH
+            | libc::ENONET
+            | libc::ETIMEDOUT
+            | libc::ECONNRESET
+            | libc::EPERM => AcceptError::Newcomer,
+            _ => AcceptError::System,
+        }
+    }
+}
+
 fn find<T>(sockets: &mut Slab<Socket<T>>, id: SocketId) -> Option<&mut Socket<T>> {
     sockets
         .get_mut(id.key)
--- a/crates/quartzdrift/src/platform/connections.rs
+++ b/crates/quartzdrift/src/platform/connections.rs
@@ -299,12 +299,22 @@
     }
 }
 
-/// What it proves that a connection could not even be begun: the system may have no descriptor or port left.
+/// What it proves that a connection could not even be begun: the system may have no descriptor, port, buffer or route left, which
+/// says nothing of the worker.
 fn loss_of_connect_error(error: &io::Error) -> ConnectionLoss {
     match Errno::from_io_error(error) {
-        Some(Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL | Errno::NOBUFS | Errno::NOMEM) => {
-            ConnectionLoss::NoConnectionLeft
-        }
+        Some(
+            Errno::MFILE
+            | Errno::NFILE
+            | Errno::ADDRNOTAVAIL
+            | Errno::AGAIN
+            | Errno::NOBUFS
+            | Errno::NOMEM
+            | Errno::NETUNREACH
+            | Errno::NETDOWN
+            | Errno::PERM
+            | Errno::ACCESS,
+        ) => ConnectionLoss::NoConnectionLeft,
         Some(_) | None => ConnectionLoss::NotConnected,
     }
 }
