--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -41,10 +41,32 @@
 
     /// On a machine whose clock, or whose run since it was started, is told by the lab's options.
     fn start_on(file: &Path, options: &[&str]) -> Gateway {
-        let mut child = Process::new(LAB)
-            .arg("gateway")
-            .arg(file)
-            .args(options)
+        let mut command = Process::new(LAB);
+        command.arg("gateway").arg(file).args(options);
+        Gateway::of(command)
+    }
+
+    /// One some of whose system calls fail, as strace(1) takes it after `inject=`.
+    fn start_failing(file: &Path, failure: &str) -> Gateway {
+        let inject = format!("inject={failure}");
+        let mut command = Process::new("strace");
+        command.args([
+            "-D",
+            "-f",
+            "-qq",
+            "-o",
+            "/dev/null",
+            "-e",
+            &inject,
+            LAB,
+            "gateway",
+        ]);
+        command.arg(file);
+        Gateway::of(command)
+    }
+
+    fn of(mut command: Process) -> Gateway {
+        let mut child = command
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
@@ -958,6 +980,47 @@
     stage.wait("the kept job", |_| (stage.came("kept") > before).then_some(()));
 }
 
+#[test]
+fn a_store_whose_disk_fails_for_a_while_takes_requests_again_and_runs_all_that_it_took() {
+    for error in ["EIO", "ENOSPC"] {
+        let stage = Stage::new(1);
+        let store = stage.folder.path().join("deferred");
+        let more = format!("[deferred]\nstore = \"{}\"\n", store.display());
+        // The settings file is written by a gateway that ends at once.
+        drop(stage.gateway_with("", &more));
+        let file = stage.folder.path().join("gateway.toml");
+        let gateway = Gateway::start_failing(&file, &format!("fdatasync:error={error}:when=4..6"));
+        let call = |key: usize| {
+            let payload = format!("{{\"key\": \"kept-{key}\"}}");
+            gateway.call("echo", &payload, true).status
+        };
+        let mut taken = Vec::new();
+        let mut failed = 0;
+        let until = Instant::now() + Duration::from_secs(15);
+        // Requests are taken, then some are not, then requests are taken again.
+        for key in 0.. {
+            assert!(Instant::now() < until, "{error}: {taken:?} taken, {failed} not");
+            match call(key) {
+                202 => taken.push(key),
+                _ => failed += 1,
+            }
+            if failed > 0 && taken.last() == Some(&key) {
+                break;
+            }
+            std::thread::sleep(10 * MS);
+        }
+        for key in taken {
+            let key = format!("kept-{key}");
+            stage.wait(&format!("{key}, taken before or after {error}"), |_| {
+                (stage.came(&key) > 0).then_some(())
+            });
+        }
+        drop(gateway);
+        // What the failure has left of the log is read at the next start.
+        drop(Gateway::start(&file));
+    }
+}
+
 /// A gateway alone, with its state and its asynchronous requests on disk.
 fn alone(stage: &Stage) -> (String, String) {
     let folder = stage.folder.path();
