Write-ahead log: comes back by itself after a disk that failed, nothing accepted is given up

Cause: after any error Log::commit answered Failed for ever, the writer's thread ended, and the gateway rejected all until a restart and gave up attempts that waited (store_failed). Records are applied twice at most, which is the same as once. Attempts that must be recorded wait on.

--- a/crates/quartzdrift-wal/src/log.rs
+++ b/crates/quartzdrift-wal/src/log.rs
@@ -6,6 +6,7 @@
 use crate::segment::{self, Segment, SegmentNumber};
 use crate::storage::LogStorage;
 use std::collections::BTreeMap;
+use std::io;
 
 /// Bytes beyond which a segment takes no further batch, unless [`Log::open_with`] says otherwise.
 const MAX_SEGMENT: u64 = 8 << 20;
@@ -95,7 +96,8 @@
     ///
     /// # Errors
     /// After any error nothing of the batch is promised to be durable or lost, and each further commit is
-    /// [`LogError::Failed`]. [`LogError::TooLong`] where the batch does not fit a frame, else those of the storage.
+    /// [`LogError::Failed`] until [`Log::resume`] has succeeded. [`LogError::TooLong`] where the batch does not fit a frame, else
+    /// those of the storage.
     pub fn commit(&mut self, records: Vec<LogRecord>) -> Result<(), LogError> {
         if self.failed {
             return Err(LogError::Failed);
@@ -105,6 +107,60 @@
         result
     }
 
+    /// Makes a log that has failed take batches again: removes what failed writes left behind, makes sure that all batches
+    /// before them are still there, and begins a new segment. The batch whose commit failed is to be committed anew; each of
+    /// its records may be applied twice.
+    ///
+    /// # Errors
+    /// Those of the storage, and [`LogError::Corrupt`] where an earlier batch is gone. The log stays failed, and this may be
+    /// tried again.
+    pub fn resume(&mut self) -> Result<(), LogError> {
+        if !self.failed {
+            return Ok(());
+        }
+        self.storage.close_files();
+        let Some((&last, segment)) = self.segments.iter().next_back() else {
+            self.failed = false;
+            return Ok(());
+        };
+        let length = segment.length;
+        self.remove_segments_after(last)?;
+        self.storage.truncate(&segment::file_name(last), length)?;
+        self.verify_segment(last, length)?;
+        self.begin_segment(last + 1)?;
+        self.failed = false;
+        Ok(())
+    }
+
+    /// Removes the segments that were begun and never became part of the log.
+    fn remove_segments_after(&mut self, last: SegmentNumber) -> Result<(), LogError> {
+        let names = self.storage.list()?;
+        let begun = |name: &&String| segment::number_of_file(name).is_some_and(|number| number > last);
+        let stray: Vec<&String> = names.iter().filter(begun).collect();
+        for name in &stray {
+            self.storage.remove(name)?;
+        }
+        if !stray.is_empty() {
+            self.storage.sync_names()?;
+        }
+        Ok(())
+    }
+
+    /// Reads a segment back: all its frames must be whole, up to its length.
+    fn verify_segment(&self, number: SegmentNumber, length: u64) -> Result<(), LogError> {
+        let name = segment::file_name(number);
+        let bytes = self.storage.read(&name)?;
+        let mut offset = HEADER_LENGTH;
+        while let Some((_, next)) = framing::decode_frame(&bytes, offset) {
+            offset = next;
+        }
+        if offset as u64 == length && bytes.len() as u64 == length {
+            Ok(())
+        } else {
+            Err(LogError::Corrupt(name, offset as u64))
+        }
+    }
+
     fn bytes(&self) -> u64 {
         self.segments.values().map(|segment| segment.length).sum()
     }
@@ -242,7 +298,11 @@
             && let Some((&oldest, segment)) = self.segments.iter().next()
             && segment.open_invocations == 0
         {
-            self.storage.remove(&segment::file_name(oldest))?;
+            match self.storage.remove(&segment::file_name(oldest)) {
+                // A removal that was reported as failed may have been carried out.
+                Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+                removal => removal?,
+            }
             self.segments.remove(&oldest);
             removed = true;
         }
--- a/crates/quartzdrift-wal/src/storage.rs
+++ b/crates/quartzdrift-wal/src/storage.rs
@@ -48,6 +48,10 @@
     /// # Errors
     /// Those of the file system.
     fn remove(&mut self, name: &str) -> io::Result<()>;
+
+    /// Closes all files, so that the next operation on each opens it anew. A descriptor on which a sync has failed may report
+    /// success the next time although nothing was written.
+    fn close_files(&mut self);
 }
 
 /// A directory on disk, which one process at a time may hold: a lock on the file `lock` in it guards against a second one.
@@ -131,4 +135,8 @@
         self.open_files.remove(name);
         fs::remove_file(self.path.join(name))
     }
+
+    fn close_files(&mut self) {
+        self.open_files.clear();
+    }
 }
--- a/crates/quartzdrift-wal/tests/crashes.rs
+++ b/crates/quartzdrift-wal/tests/crashes.rs
@@ -30,6 +30,8 @@
     full_from: Option<usize>,
     /// From this operation on each sync fails.
     sync_fails_from: Option<usize>,
+    /// Each operation from the first one up to the second one fails; of a write half has reached the disk.
+    fails: Option<(usize, usize)>,
 }
 
 /// A disk that the log and the test share.
@@ -44,6 +46,12 @@
     /// Counts an operation; `true` if the machine stops during it, an error if it has stopped before.
     fn begin_operation(&mut self) -> io::Result<bool> {
         self.operations += 1;
+        if self
+            .fails
+            .is_some_and(|(from, to)| (from..to).contains(&self.operations))
+        {
+            return Err(io::Error::other("the disk fails for a while"));
+        }
         match self.stop {
             Some((at, _)) if self.operations > at => Err(stopped()),
             Some((at, _)) => Ok(self.operations == at),
@@ -88,7 +96,12 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let mut disk = self.0.borrow_mut();
-        let stops = disk.begin_operation()?;
+        let begun = disk.begin_operation();
+        if begun.is_err() && disk.fails.is_some() {
+            let half = &bytes[..bytes.len() / 2];
+            disk.files.entry(name.to_owned()).or_default().bytes.extend(half);
+        }
+        let stops = begun?;
         let written = disk.stop.filter(|_| stops).map(|(_, part)| part.min(bytes.len()));
         let full = disk.full_from.is_some_and(|at| disk.operations >= at);
         let file = disk.files.entry(name.to_owned()).or_default();
@@ -144,6 +157,8 @@
         disk.files.remove(name);
         Ok(())
     }
+
+    fn close_files(&mut self) {}
 }
 
 /// Small, so that a few requests fill some segments.
@@ -336,6 +351,58 @@
     }
 }
 
+/// Commits the batches, each until it is acknowledged or the machine has stopped; returns how many were acknowledged.
+fn commit_all_persistently(disk: &SharedDisk, most_tries: usize) -> usize {
+    let Ok((mut log, _)) = open(disk) else { return 0 };
+    let mut acknowledged = 0;
+    for batch in batches() {
+        let committed = (0..most_tries).any(|_| log.resume().is_ok() && log.commit(batch.clone()).is_ok());
+        if !committed {
+            break;
+        }
+        acknowledged += 1;
+    }
+    acknowledged
+}
+
+#[test]
+fn a_disk_that_fails_for_a_while_costs_no_batch() {
+    for length in [1, 2, 3, 9] {
+        for from in 5..150 {
+            let disk = SharedDisk::default();
+            disk.0.borrow_mut().fails = Some((from, from + length));
+            let acknowledged = commit_all_persistently(&disk, 20);
+            assert_eq!(acknowledged, batches().len(), "{from} for {length}");
+            for unsynced in [0, usize::MAX / 2] {
+                let found = recover(disk.0.borrow().after_restart(unsynced));
+                assert_eq!(found, expected(&batches()), "{from} for {length}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_crash_while_a_log_resumes_loses_no_acknowledged_batch() {
+    for from in (5..100).step_by(3) {
+        for stop in from + 1..from + 12 {
+            for (part, unsynced) in [(0, 0), (7, 5), (9, usize::MAX / 2), (usize::MAX, usize::MAX / 2)] {
+                let disk = SharedDisk::default();
+                disk.0.borrow_mut().fails = Some((from, from + 2));
+                disk.0.borrow_mut().stop = Some((stop, part));
+                let acknowledged = commit_all_persistently(&disk, 20);
+                let found = recover(disk.0.borrow().after_restart(unsynced));
+                let next = (acknowledged + 1).min(batches().len());
+                assert!(
+                    [acknowledged, next]
+                        .iter()
+                        .any(|n| found == expected(&batches()[..*n])),
+                    "fails at {from}, stops at {stop}, part {part}, unsynced {unsynced}: {acknowledged} acknowledged"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn damage_is_reported_with_its_place_and_repair_saves_what_can_be_read() {
     let directory = tempfile::tempdir().unwrap();
--- a/crates/quartzdrift/src/gateway/asynchronous.rs
+++ b/crates/quartzdrift/src/gateway/asynchronous.rs
@@ -116,11 +116,6 @@
         }
     }
 
-    /// Gives up an attempt whose start did not become durable.
-    pub(super) fn abandon_attempt(&mut self, id: InvocationId) {
-        self.invocation_attempt_ended(id, NOT_SENT, None);
-    }
-
     /// Takes the final answer to an attempt.
     pub(super) fn attempt_answered(
         &mut self,
@@ -173,7 +168,7 @@
     /// Logs the invocations that this process leaves open: lost ones by name.
     pub(super) fn log_open_invocations(&self) {
         let requests = self.asynchronous.len();
-        if self.store.as_ref().is_some_and(|store| !store.failed) {
+        if self.store.is_some() {
             return tracing::info!(requests, "deferred jobs are kept for the next start");
         }
         if requests == 0 {
--- a/crates/quartzdrift/src/gateway/store.rs
+++ b/crates/quartzdrift/src/gateway/store.rs
@@ -1,7 +1,8 @@
 //! Asynchronous invocations on disk: when effects wait until a change is durable, and what happens when the store fails.
 //!
-//! An acceptance is answered once it is durable. An attempt that must not execute twice is sent once its start is durable. A
-//! store that fails is an error in the log, and from then on each new invocation is rejected.
+//! An acceptance is answered once it is durable. An attempt that must not execute twice is sent once its start is durable.
+//! While the disk fails, which is an error in the log, each new invocation is rejected, acceptances that wait are answered as
+//! unknown, and attempts wait on: what was accepted before is still owed.
 use super::Gateway;
 use super::responses::to_http;
 use crate::durable::{self, LogWriter, OpenedLog, WriterEvent};
@@ -40,8 +41,8 @@
     pending_answers: usize,
     /// Whether the last batch could not be submitted because the disk does not keep up.
     behind: bool,
-    /// Whether the log has failed.
-    pub(super) failed: bool,
+    /// Whether the disk fails at present.
+    stalled: bool,
 }
 
 impl Store {
@@ -52,18 +53,19 @@
             submitted: VecDeque::new(),
             pending_answers: 0,
             behind: false,
-            failed: false,
+            stalled: false,
         }
     }
 
     /// Whether new invocations may be accepted.
     pub(super) fn has_capacity(&self) -> bool {
-        !self.failed && !self.behind && self.pending_answers < MAX_PENDING_ANSWERS
+        !self.stalled && !self.behind && self.pending_answers < MAX_PENDING_ANSWERS
     }
 
     /// Whether nothing waits for the disk.
     pub(super) fn idle(&self) -> bool {
-        self.failed || self.submitted.is_empty() && self.gathering.answers.is_empty()
+        let gathers = !self.gathering.answers.is_empty() || !self.gathering.attempts.is_empty();
+        self.submitted.is_empty() && !gathers
     }
 }
 
@@ -105,7 +107,7 @@
     fn writer_event(&mut self, event: Event<WriterEvent>) {
         match event {
             Event::Msg(WriterEvent::Durable(number)) => self.batch_durable(number),
-            Event::Msg(WriterEvent::Failed(reason)) => self.store_failed(&reason),
+            Event::Msg(WriterEvent::Stalled(reason)) => self.store_stalled(&reason),
             Event::Closed => {}
         }
     }
@@ -173,10 +175,6 @@
     pub(super) fn submit_changes(&mut self) {
         let Some(store) = &mut self.store else { return };
         let changes = self.asynchronous.store_mut().take();
-        if store.failed {
-            let effects = std::mem::take(&mut store.gathering);
-            return self.abandon_effects(effects);
-        }
         if changes.is_empty() {
             return;
         }
@@ -194,6 +192,11 @@
     }
 
     fn batch_durable(&mut self, number: u64) {
+        if let Some(store) = &mut self.store
+            && std::mem::take(&mut store.stalled)
+        {
+            tracing::info!("deferred jobs are kept again");
+        }
         while let Some(store) = &mut self.store
             && let Some((_, effects)) = store.submitted.pop_front_if(|(batch, _)| *batch <= number)
         {
@@ -213,32 +216,24 @@
         self.submit_changes();
     }
 
-    fn store_failed(&mut self, reason: &str) {
+    /// The disk fails: it is unknown whether what waits for it is durable, and clients are told so. Attempts wait until their
+    /// start is durable.
+    fn store_stalled(&mut self, reason: &str) {
         tracing::error!(
             why = reason,
-            "deferred jobs are no longer kept: new ones are pushed back until a restart"
+            "deferred jobs cannot be kept at present: new ones are pushed back until the disk takes them"
         );
         let Some(store) = &mut self.store else { return };
-        store.failed = true;
-        for (_, effects) in std::mem::take(&mut store.submitted) {
-            self.abandon_effects(effects);
-        }
-        self.submit_changes();
-    }
-
-    /// It is unknown whether the batch is durable: clients are told so, and no attempt is sent that must not execute twice.
-    fn abandon_effects(&mut self, effects: PendingEffects) {
-        if let Some(store) = &mut self.store {
-            store.pending_answers -= effects.answers.len();
-        }
-        for (exchange, id) in effects.answers {
-            self.http.respond(
-                exchange,
-                &to_http(ApiError::DurabilityUnknown.response(), Some(id)),
-            );
-        }
-        for attempt in effects.attempts {
-            self.abandon_attempt(attempt.id);
+        store.stalled = true;
+        let submitted = store.submitted.iter_mut().map(|(_, effects)| effects);
+        let waiting = submitted.chain(std::iter::once(&mut store.gathering));
+        let answers: Vec<(Exchange, Uuid)> = waiting
+            .flat_map(|effects| std::mem::take(&mut effects.answers))
+            .collect();
+        store.pending_answers -= answers.len();
+        for (exchange, id) in answers {
+            let unknown = ApiError::DurabilityUnknown.response();
+            self.http.respond(exchange, &to_http(unknown, Some(id)));
         }
     }
 
