--- a/crates/quartzdrift-lab/tests/closes.rs
+++ b/crates/quartzdrift-lab/tests/closes.rs
@@ -273,6 +273,48 @@
     child.wait().unwrap();
 }
 
+#[test]
+fn a_newcomer_waits_where_all_clients_have_requests_open() {
+    let mut stage = Stage::with(LAB, 2, &[SCARCE]);
+    let mut busy: Vec<Frontend> = (0..8).map(|_| stage.frontend()).collect();
+    for (frontend, n) in busy.iter_mut().zip(1_u64..) {
+        ask(frontend, 1, &asked("/do/once", &format!("{n:016x}")));
+    }
+    let mut commands = Vec::new();
+    while commands.len() < busy.len() {
+        for (n, worker) in stage.workers.iter_mut().enumerate() {
+            commands.extend(
+                worker
+                    .command_now()
+                    .map(|(connection, _, id, ..)| (n, connection, id)),
+            );
+        }
+        std::thread::yield_now();
+    }
+    // There is no room for it, and none of the others is silent.
+    let mut newcomer = stage.frontend();
+    ask(&mut newcomer, 1, &asked("/do/once", ID));
+    // Longer than any turn of the loop.
+    std::thread::sleep(Duration::from_millis(300));
+    let (worker, connection, id) = commands[0];
+    stage.workers[worker].answer(connection, DONE, id, b"first");
+    assert_eq!(
+        busy[usize::try_from(id).unwrap() - 1].reply().unwrap().body,
+        b"first"
+    );
+    let since = Instant::now();
+    let (worker, (connection, _, id, ..)) = loop {
+        let mut workers = stage.workers.iter_mut().enumerate();
+        if let Some(came) = workers.find_map(|(n, worker)| Some((n, worker.command_now()?))) {
+            break came;
+        }
+        assert!(since.elapsed() < Duration::from_secs(20), "it is not served");
+        std::thread::yield_now();
+    };
+    stage.workers[worker].answer(connection, DONE, id, b"after all");
+    assert_eq!(newcomer.reply().unwrap().body, b"after all");
+}
+
 /// All that was sent on a connection, as whole frames, and what is left over.
 fn frames(mut bytes: &[u8]) -> (Vec<(u8, u64)>, usize) {
     let mut whole = Vec::new();
--- a/crates/quartzdrift-lab/tests/crossings.rs
+++ b/crates/quartzdrift-lab/tests/crossings.rs
@@ -1,6 +1,6 @@
 //! What crosses: requests, answers, closes, aborts, news and signals that come in the same moment, or in the other
 //! order. A scheduler process on loopback, against fakes that make the order certain.
-use quartzdrift_lab::platform::{Asked, Frontend, Reached, Worker};
+use quartzdrift_lab::platform::{Asked, Coordinator, Frontend, Reached, Worker};
 use quartzdrift_lab::stage::{
     DONE, ID, NO_CANCEL, OTHER, PATIENT, SCARCE, Stage, THIRD, Vanished, ask, asked, check, config, event,
     ids, number, serve, target,
@@ -554,6 +554,31 @@
     assert_eq!((at, id), (0, number(OTHER)));
 }
 
+#[test]
+fn of_new_configurations_quicker_than_one_poll_the_last_one_is_followed_and_no_drain_is_lost() {
+    let mut stage = Stage::start(LAB, 2);
+    let mut frontend = stage.frontend();
+    assert_eq!(check(&mut frontend), 200);
+    let unused: Vec<Coordinator> = (0..4).map(|_| Coordinator::start().unwrap()).collect();
+    let last = Coordinator::start().unwrap();
+    let nothing = r#"{"index":0,"updates":[]}"#;
+    for coordinator in &unused {
+        stage.hang_up(coordinator.at, nothing);
+        // Half of the next file may be there in the moment of a signal.
+        std::fs::write(&stage.file, &config(coordinator.at, nothing)[..80]).unwrap();
+        stage.signal("-HUP");
+    }
+    stage.hang_up(last.at, nothing);
+    assert!(last.poll().contains("follow=1&"));
+    stage.coordinator = last;
+    stage.tell(2, &[target("w0", stage.workers[0].at, "Terminating")]);
+    for n in 1..=20 {
+        ask(&mut frontend, 1, &asked("/do/again", &format!("{n:016x}")));
+        serve(&mut stage.workers[1], &mut frontend, b"");
+    }
+    assert_eq!(stage.last_commands(0), []);
+}
+
 #[test]
 fn an_answer_of_the_old_coordinator_in_the_moment_of_a_hang_up_loses_no_drain() {
     let mut stage = Stage::start(LAB, 2);
