run: a client for whom there is no room waits to be accepted, and is not closed unread

Cause: accept.rs accepted whoever waited and closed those for whom has_room found none, with what they had sent unread.

--- a/crates/quartzdrift-http/src/server.rs
+++ b/crates/quartzdrift-http/src/server.rs
@@ -119,7 +119,7 @@
 
     /// Accepts the connections that wait.
     pub(crate) fn accept(&mut self) {
-        for stream in self.sockets.accept(is_idle) {
+        for stream in self.sockets.accept(usize::MAX, is_idle) {
             if self.clients >= self.limits.connections {
                 // An idle client makes room. Without one, the newcomer is closed unread and may try again elsewhere.
                 let Some(idle) = self.sockets.longest_silent(is_idle) else {
--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -130,6 +130,11 @@
         !self.listeners.is_empty()
     }
 
+    /// Whether connections may wait to be accepted.
+    pub fn is_acceptable(&self) -> bool {
+        self.is_acceptable
+    }
+
     /// Whether no connection was left waiting when connections were last accepted.
     pub fn accepted_all(&self) -> bool {
         self.accepted_all
@@ -140,17 +145,18 @@
         self.is_acceptable = true;
     }
 
-    /// Accepts the connections that wait, with at most `MAX_ACCEPTED_PER_TURN` tries. Where the process has run out of
-    /// descriptors, the idle socket that has been silent longest is overdue at once.
-    pub fn accept(&mut self, is_idle: impl Fn(&Socket<T>) -> bool) -> Vec<TcpStream> {
+    /// Accepts the connections that wait, `most` of them and with `MAX_ACCEPTED_PER_TURN` tries; those that find no room wait
+    /// on. Where the process has run out of descriptors, the idle socket that has been silent longest is overdue at once.
+    pub fn accept(&mut self, most: usize, is_idle: impl Fn(&Socket<T>) -> bool) -> Vec<TcpStream> {
         let mut accepted = Vec::new();
         if !std::mem::take(&mut self.is_acceptable) {
             return accepted;
         }
         self.accepted_all = false;
+        let most = most.min(MAX_ACCEPTED_PER_TURN);
         let (mut tries, mut drained) = (0, 0);
         for at in 0..self.listeners.len() {
-            while tries < MAX_ACCEPTED_PER_TURN {
+            while tries < MAX_ACCEPTED_PER_TURN && accepted.len() < most {
                 tries += 1;
                 match self.listeners[at].0.accept() {
                     Ok((stream, _)) => accepted.push(stream),
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -4,17 +4,19 @@
 use quartzdrift_http::sockets::SocketId;
 
 impl Node {
-    /// Accepts the clients that wait; one for whom there is no room is closed unread.
+    /// Accepts the clients that wait, as far as there is room or a silent client that makes room; the others wait on, since
+    /// each may have sent a request.
     pub(super) fn accept(&mut self) {
-        let streams = self.sockets.accept(is_silent);
+        if !self.sockets.is_acceptable() {
+            return;
+        }
+        let streams = self.sockets.accept(self.client_capacity(), is_silent);
         let earliest_arrival = self.loop_delay.earliest_arrival();
         let arrived = self.unaccepted_since.unwrap_or(earliest_arrival);
         self.unaccepted_since = (!self.sockets.accepted_all()).then_some(arrived);
         for stream in streams {
-            if !self.has_room() {
-                self.counts.dropped += 1;
-                continue;
-            }
+            // A silent client may have sent something in this very moment: then there is one client too many for a while.
+            self.make_room();
             if let Ok(id) = self.sockets.insert(stream, Peer::Client(Client::new(arrived))) {
                 self.clients += 1;
                 self.sockets.set_deadline(id, Some(RECEIVE_TIMEOUT));
@@ -22,22 +24,31 @@
         }
     }
 
-    /// Whether there is room for one more client. Where there is none, the client that has been silent longest is closed,
-    /// unless something has arrived from it that the loop has not been told of yet.
-    fn has_room(&mut self) -> bool {
+    /// Clients that may be accepted now.
+    fn client_capacity(&self) -> usize {
+        let silent = self
+            .sockets
+            .iter()
+            .filter(|(_, socket)| is_silent(socket))
+            .count();
+        (self.budget.clients + silent).saturating_sub(self.clients)
+    }
+
+    /// Makes room for one more client, where there is none: the client that has been silent longest is closed, unless
+    /// something has arrived from it that the loop has not been told of yet.
+    fn make_room(&mut self) {
         for _ in 0..=self.clients {
             if self.clients < self.budget.clients {
-                return true;
+                return;
             }
             let Some(silent) = self.sockets.longest_silent(is_silent) else {
-                return false;
+                return;
             };
             if !self.read_pending_input(silent) {
                 self.counts.dropped += 1;
                 self.close_client(silent);
             }
         }
-        false
     }
 
     /// Reads what has arrived from a client that the loop has not been told of yet, and works it. Returns whether there was
