Scheduler: a decision costs less with thousands of workers, decisions unchanged

A kind's speed was computed for each worker twice a decision, all candidates were sorted where the few preferred ones are needed, a draw was made for each candidate where only ties need it, and each tick sent a message to all workers where only attempts that wait tell anything.

--- a/crates/quartzdrift-scheduler/src/measure/speed.rs
+++ b/crates/quartzdrift-scheduler/src/measure/speed.rs
@@ -1,5 +1,7 @@
 //! How fast kinds of machine are against each other.
 use super::DecayingSums;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Speed of each kind of machine against the mean of all.
@@ -9,21 +11,34 @@
     attempts: DecayingSums,
     /// Their durations, in units of the mean of their class.
     durations: DecayingSums,
+    /// Speeds that were asked for, by kind, each with the time that it is for: a decision asks for each worker's.
+    known: RefCell<BTreeMap<usize, (Duration, f64)>>,
 }
 
 impl RelativeSpeeds {
     pub(crate) fn new(half_life: Duration) -> RelativeSpeeds {
-        RelativeSpeeds { attempts: DecayingSums::new(half_life), durations: DecayingSums::new(half_life) }
+        RelativeSpeeds {
+            attempts: DecayingSums::new(half_life),
+            durations: DecayingSums::new(half_life),
+            known: RefCell::default(),
+        }
     }
 
     /// Adds an attempt and its duration, in units of the mean of its class.
     pub(crate) fn add(&mut self, kind: usize, relative_duration: f64, now: Duration) {
         self.attempts.add(kind, 1.0, now);
         self.durations.add(kind, relative_duration, now);
+        self.known.get_mut().clear();
     }
 
     /// Speed of a kind, as if `prior` attempts of mean duration had been seen before.
     pub(crate) fn get(&self, kind: usize, prior: f64, now: Duration) -> f64 {
-        (self.attempts.get(kind, now) + prior) / (self.durations.get(kind, now) + prior)
+        let known = self.known.borrow().get(&kind).copied();
+        if let Some((_, speed)) = known.filter(|(at, _)| *at == now) {
+            return speed;
+        }
+        let speed = (self.attempts.get(kind, now) + prior) / (self.durations.get(kind, now) + prior);
+        self.known.borrow_mut().insert(kind, (now, speed));
+        speed
     }
 }
--- a/crates/quartzdrift-scheduler/src/scheduler/affinity.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/affinity.rs
@@ -13,11 +13,17 @@
         let slots = request.concurrency_slots;
         let preferred = self.preferred(request.function, slots, query.weight, candidates.len());
         let name = self.function_names.name(request.function);
-        let order = |c: &Candidate| (c.tenant_rejected, Reverse(self.affinity(&name, c.worker)));
-        candidates.sort_by_cached_key(order);
+        let order =
+            |(at, c): (usize, &Candidate)| (c.tenant_rejected, Reverse(self.affinity(&name, c.worker)), at);
+        let mut ranked: Vec<_> = candidates.iter().enumerate().map(order).collect();
+        if preferred < ranked.len() {
+            ranked.select_nth_unstable(preferred);
+        }
         let status =
             if self.settings.reports_cache_status { CacheStatus::Known } else { CacheStatus::Assumed };
-        candidates.iter_mut().take(preferred).for_each(|candidate| candidate.cache_status = status);
+        for (.., at) in ranked.into_iter().take(preferred) {
+            candidates[at].cache_status = status;
+        }
     }
 
     /// How many of `workers` load a function ahead of need: those that its expected requests prefer.
--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
@@ -49,10 +49,9 @@
     }
 
     pub(super) fn tick(&mut self) {
-        for worker in &self.workers {
-            if worker.endpoint.state != EndpointState::Gone || !worker.attempts.is_empty() {
-                self.mailbox.send_to_worker(worker.index, Message::Tick);
-            }
+        // Only attempts that wait tell of a worker that answers nothing.
+        for worker in self.workers.iter().filter(|worker| !worker.attempts.is_empty()) {
+            self.mailbox.send_to_worker(worker.index, Message::Tick);
         }
         self.actions.push(Action::SetTimer { delay: TICK, name: "tick" });
         if self.watch_at.take_if(|at| *at <= self.now).is_some() {
--- a/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
@@ -66,14 +66,16 @@
 
     /// By cache status, fewest estimated requests, and at random; those that reject the tenant come last.
     fn best_candidate(&self, candidates: &[Candidate], load: &LoadEstimate) -> Option<Candidate> {
-        let ranked = candidates.iter().map(|candidate| {
+        let rank = |candidate: &Candidate| {
             let status = (candidate.tenant_rejected, candidate.cache_status);
             let requests = (load.requests(candidate) + 1.0) / self.relative_speed(candidate.worker);
-            let draw = hash(&(self.settings.seed, self.random_draws, candidate.worker));
-            (status, requests, draw, *candidate)
-        });
-        let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        best.map(|(.., candidate)| candidate)
+            (status, requests)
+        };
+        let order = |a: &(_, f64), b: &(_, f64)| Ord::cmp(&a.0, &b.0).then(a.1.total_cmp(&b.1));
+        let best = candidates.iter().map(rank).min_by(order)?;
+        let tied = candidates.iter().filter(|candidate| order(&rank(candidate), &best).is_eq());
+        let draw = |candidate: &&Candidate| hash(&(self.settings.seed, self.random_draws, candidate.worker));
+        tied.min_by_key(draw).copied()
     }
 
     fn estimate_load(&self, candidates: &mut [Candidate]) -> LoadEstimate {
