--- a/crates/quartzdrift-http/tests/sockets.rs
+++ b/crates/quartzdrift-http/tests/sockets.rs
@@ -246,6 +246,31 @@
     drop(idle);
 }
 
+#[test]
+fn a_newcomer_waits_where_all_connections_have_requests_open() {
+    let mut stage = Stage::new(Limits {
+        connections: 2,
+        ..Limits::default()
+    });
+    let _first = stage.client(b"GET /first HTTP/1.1\r\n\r\n");
+    let (open, _) = stage.request();
+    let _second = stage.client(b"GET /second HTTP/1.1\r\n\r\n");
+    stage.request();
+    let _third = stage.client(b"GET /third HTTP/1.1\r\n\r\n");
+    // The loop is told of the third one, for whom there is no room.
+    for _ in 0..3 {
+        stage
+            .event_loop
+            .dispatch(Duration::from_millis(20), &mut stage.state)
+            .unwrap();
+        stage.state.0.expire(Instant::now());
+        assert!(stage.state.0.take_events().is_empty());
+    }
+    stage.state.0.respond(open, &answer("first"));
+    let (_, request) = stage.request();
+    assert_eq!(request.head.target, "/third");
+}
+
 #[test]
 fn a_refused_connection_and_one_closed_after_the_request_are_told_apart() {
     let mut stage = Stage::new(Limits::default());
