serve: a client for whom there is no room waits; idle connections are looked at before they are closed

Cause: Server::accept closed newcomers unread where all connections were busy, and an idle one without a look at what it had just sent.

--- a/crates/quartzdrift-http/src/server.rs
+++ b/crates/quartzdrift-http/src/server.rs
@@ -117,16 +117,16 @@
         }
     }
 
-    /// Accepts the connections that wait.
+    /// Accepts the connections that wait, as far as there is room or an idle client that makes room; the others wait on, since
+    /// each may have sent a request.
     pub(crate) fn accept(&mut self) {
-        for stream in self.sockets.accept(usize::MAX, is_idle) {
-            if self.clients >= self.limits.connections {
-                // An idle client makes room. Without one, the newcomer is closed unread and may try again elsewhere.
-                let Some(idle) = self.sockets.longest_silent(is_idle) else {
-                    continue;
-                };
-                self.close(idle);
-            }
+        if !self.sockets.is_acceptable() {
+            return;
+        }
+        let idle = self.sockets.iter().filter(|(_, socket)| is_idle(socket)).count();
+        let capacity = (self.limits.connections + idle).saturating_sub(self.clients);
+        for stream in self.sockets.accept(capacity, is_idle) {
+            self.make_room();
             let connection = Connection {
                 exchange_number: 0,
                 role: Role::Server(ServerState::Head { scanned: 0 }),
@@ -138,6 +138,27 @@
         }
     }
 
+    /// Makes room for one more client, where there is none: the one that has been idle longest is closed, unless something has
+    /// arrived from it that the loop has not been told of yet.
+    fn make_room(&mut self) {
+        for _ in 0..=self.clients {
+            if self.clients < self.limits.connections {
+                return;
+            }
+            let Some(idle) = self.sockets.longest_silent(is_idle) else {
+                return;
+            };
+            self.sockets.look(idle);
+            let has_arrived = self
+                .sockets
+                .get(idle)
+                .is_some_and(|socket| !socket.input.is_empty());
+            if !has_arrived {
+                self.close(idle);
+            }
+        }
+    }
+
     /// A client has left, or takes nothing of its response.
     pub(crate) fn client_lost(&mut self, id: SocketId) {
         let Some(socket) = self.sockets.get(id) else {
--- a/crates/quartzdrift-lab/src/platform.rs
+++ b/crates/quartzdrift-lab/src/platform.rs
@@ -47,6 +47,10 @@
 }
 
 impl Frontend {
+    /// Connects to a scheduler.
+    ///
+    /// # Errors
+    /// Those of the system.
     pub fn connect(at: SocketAddr) -> io::Result<Frontend> {
         let stream = TcpStream::connect(at)?;
         stream.set_read_timeout(Some(PATIENCE))?;
@@ -101,6 +105,10 @@
         out
     }
 
+    /// Sends bytes as they are.
+    ///
+    /// # Errors
+    /// The connection has ended.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
@@ -197,6 +205,10 @@
 }
 
 impl Worker {
+    /// A worker at an address of its own.
+    ///
+    /// # Errors
+    /// The system grants no socket.
     pub fn start() -> io::Result<Worker> {
         Worker::take(TcpListener::bind(("127.0.0.1", 0))?)
     }
@@ -345,12 +357,14 @@
         }
     }
 
+    /// Sends bytes as they are on one of its connections, by number.
     pub fn send(&mut self, connection: usize, bytes: &[u8]) {
         self.connections[connection]
             .write_all(bytes)
             .expect("the lane takes what the worker says");
     }
 
+    /// Answers a command with a code and a body.
     pub fn answer(&mut self, connection: usize, code: u8, id: u64, body: &[u8]) {
         let mut out = Vec::new();
         frame::write(&mut out, frame::FROM_WORKER, code, id, b"report=queue:0", body);
@@ -364,6 +378,7 @@
         let _ = self.connections[connection].write_all(&out);
     }
 
+    /// Closes one of its connections.
     pub fn close(&mut self, connection: usize) {
         let _ = self.connections[connection].shutdown(std::net::Shutdown::Both);
     }
@@ -377,6 +392,10 @@
 }
 
 impl Coordinator {
+    /// A coordinator at an address of its own.
+    ///
+    /// # Errors
+    /// The system grants no socket.
     pub fn start() -> io::Result<Coordinator> {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let at = listener.local_addr()?;
--- a/crates/quartzdrift-lab/src/stage.rs
+++ b/crates/quartzdrift-lab/src/stage.rs
@@ -11,7 +11,9 @@
 pub const DONE: u8 = 64;
 /// Ids of requests.
 pub const ID: &str = "9b1f03aa5c7e2d41";
+/// Another id.
 pub const OTHER: &str = "9b1f03aa5c7e2d42";
+/// A third id.
 pub const THIRD: &str = "9b1f03aa5c7e2d43";
 /// The settings forbid to give up what is out.
 pub const NO_CANCEL: (&str, &str) = ("\"cancel\":true", "\"cancel\":false");
@@ -146,6 +148,7 @@
         }
     }
 
+    /// A connection of a client to the scheduler.
     pub fn frontend(&self) -> Frontend {
         Frontend::connect(self.at).expect("the scheduler takes connections")
     }
@@ -155,6 +158,7 @@
         self.child.id()
     }
 
+    /// Sends the scheduler a signal by its name.
     pub fn signal(&self, name: &str) {
         signal(name, self.child.id());
     }
@@ -170,6 +174,7 @@
         }
     }
 
+    /// Sends SIGCONT.
     pub fn go_on(&self) {
         self.signal("-CONT");
     }
@@ -304,12 +309,14 @@
     }
 }
 
+/// Sends a request under a FastCGI number.
 pub fn ask(frontend: &mut Frontend, number: u16, asked: &Asked) {
     frontend
         .send(&Frontend::request(number, asked))
         .expect("the scheduler takes a request");
 }
 
+/// Sends a request and returns its answer.
 pub fn ask_and_reply(frontend: &mut Frontend, asked: &Asked) -> Reply {
     ask(frontend, 1, asked);
     frontend.reply().expect("a reply")
@@ -338,6 +345,10 @@
 }
 
 impl Vanished {
+    /// A listener whose queue is full.
+    ///
+    /// # Errors
+    /// The system grants no socket.
     pub fn start() -> io::Result<Vanished> {
         use socket2::{Domain, Socket, Type};
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
--- a/crates/quartzdrift-lab/tests/closes.rs
+++ b/crates/quartzdrift-lab/tests/closes.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn a_request_whose_client_has_closed_by_then_reaches_no_lane_that_is_at_hand() {
+fn a_request_whose_client_has_closed_by_then_reaches_no_connection_that_is_at_hand() {
     for half in [true, false] {
         let mut stage = Stage::with(LAB, 1, &[NO_CANCEL]);
         let (mut frontend, mut leaves, mut checks) = (stage.frontend(), stage.frontend(), stage.frontend());
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn a_worker_is_no_worse_for_a_lane_that_we_have_not_left() {
+fn a_worker_is_no_worse_for_a_connection_that_we_have_not_left() {
     let one = ("\"streams-per-conn\":32", "\"streams-per-conn\":1");
     let mut stage = Stage::with(LAB, 1, &[SCARCE, one, COLD]);
     let mut frontend = stage.frontend();
--- a/crates/quartzdrift-lab/tests/crossings.rs
+++ b/crates/quartzdrift-lab/tests/crossings.rs
@@ -306,7 +306,7 @@
 }
 
 #[test]
-fn a_lane_that_its_worker_closed_a_moment_ago_costs_no_request() {
+fn a_connection_that_its_worker_closed_a_moment_ago_costs_no_request() {
     let mut stage = Stage::start(LAB, 1);
     let mut frontend = stage.frontend();
     ask(&mut frontend, 1, &asked("/do/once", ID));
--- a/crates/quartzdrift-lab/tests/platform.rs
+++ b/crates/quartzdrift-lab/tests/platform.rs
@@ -302,7 +302,7 @@
 }
 
 #[test]
-fn a_lane_that_was_forgotten_while_idle_costs_no_request() {
+fn a_connection_that_was_forgotten_while_idle_costs_no_request() {
     let mut stage = Stage::start(LAB, 1);
     let mut frontend = stage.frontend();
     let connection = stage.rested(&mut frontend, ID);
