--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
@@ -36,7 +36,8 @@
     /// Starts are told on the list's clock, of which ours may be off by any span. That clock shows at least the
     /// newest start when we are told of it, and runs on as ours does.
     fn observe_start(&mut self, started: Duration) {
-        let is_newest = self.latest_start.is_none_or(|(latest, told)| started + told > latest + self.now);
+        let is_newest =
+            self.latest_start.is_none_or(|(latest, learned)| started + learned > latest + self.now);
         if is_newest {
             self.latest_start = Some((started, self.now));
         }
@@ -44,8 +45,8 @@
 
     /// How long ago a process was started, at least.
     fn age(&self, started: Duration) -> Duration {
-        let (latest, told) = self.latest_start.unwrap_or((started, self.now));
-        (latest + self.now).saturating_sub(told + started)
+        let (latest, learned) = self.latest_start.unwrap_or((started, self.now));
+        (latest + self.now).saturating_sub(learned + started)
     }
 
     pub(super) fn tick(&mut self) {
