--- a/crates/quartzdrift-http/src/server.rs
+++ b/crates/quartzdrift-http/src/server.rs
@@ -120,12 +120,8 @@
     /// Accepts the connections that wait, as far as there is room or an idle client that makes room; the others wait on, since
     /// each may have sent a request.
     pub(crate) fn accept(&mut self) {
-        if !self.sockets.is_acceptable() {
-            return;
-        }
-        let idle = self.sockets.iter().filter(|(_, socket)| is_idle(socket)).count();
-        let capacity = (self.limits.connections + idle).saturating_sub(self.clients);
-        for stream in self.sockets.accept(capacity, is_idle) {
+        let limit = self.limits.connections;
+        for stream in self.sockets.accept(limit, self.clients, is_idle) {
             self.make_room();
             let connection = Connection {
                 exchange_number: 0,
--- a/crates/quartzdrift-http/src/socket.rs
+++ b/crates/quartzdrift-http/src/socket.rs
@@ -183,11 +183,7 @@
                 return false;
             }
             match (&*self.stream).write(&self.output[self.written..]) {
-                Ok(0) => {
-                    self.break_off();
-                    return true;
-                }
-                Ok(bytes) => {
+                Ok(bytes) if bytes > 0 => {
                     self.written += bytes;
                     self.sent += bytes as u64;
                 }
@@ -196,7 +192,7 @@
                     return true;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
+                Ok(_) | Err(_) => {
                     self.break_off();
                     return true;
                 }
--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -130,11 +130,6 @@
         !self.listeners.is_empty()
     }
 
-    /// Whether connections may wait to be accepted.
-    pub fn is_acceptable(&self) -> bool {
-        self.is_acceptable
-    }
-
     /// Whether no connection was left waiting when connections were last accepted.
     pub fn accepted_all(&self) -> bool {
         self.accepted_all
@@ -145,15 +140,22 @@
         self.is_acceptable = true;
     }
 
-    /// Accepts the connections that wait, `most` of them and with `MAX_ACCEPTED_PER_TURN` tries; those that find no room wait
-    /// on. Where the process has run out of descriptors, the idle socket that has been silent longest is overdue at once.
-    pub fn accept(&mut self, most: usize, is_idle: impl Fn(&Socket<T>) -> bool) -> Vec<TcpStream> {
+    /// Accepts the connections that wait, with `MAX_ACCEPTED_PER_TURN` tries. Of `limit` connections `open` are in use, and
+    /// idle sockets may make room; those that find no room wait on. Where the process has run out of descriptors, the idle
+    /// socket that has been silent longest is overdue at once.
+    pub fn accept(
+        &mut self,
+        limit: usize,
+        open: usize,
+        is_idle: impl Fn(&Socket<T>) -> bool,
+    ) -> Vec<TcpStream> {
         let mut accepted = Vec::new();
         if !std::mem::take(&mut self.is_acceptable) {
             return accepted;
         }
         self.accepted_all = false;
-        let most = most.min(MAX_ACCEPTED_PER_TURN);
+        let idle = self.iter().filter(|(_, socket)| is_idle(socket)).count();
+        let most = (limit + idle).saturating_sub(open);
         let (mut tries, mut drained) = (0, 0);
         for at in 0..self.listeners.len() {
             while tries < MAX_ACCEPTED_PER_TURN && accepted.len() < most {
@@ -310,12 +312,16 @@
 
     /// The buffer of what is to be sent with the next [`Sockets::flush`].
     pub fn output(&mut self, id: SocketId) -> Option<&mut Vec<u8>> {
-        let socket = find(&mut self.sockets, id)?;
-        if !socket.is_dirty {
+        self.flush_later(id);
+        self.get_mut(id).map(|socket| &mut socket.output)
+    }
+
+    /// Has the next [`Sockets::flush`] send what was written on a socket.
+    fn flush_later(&mut self, id: SocketId) {
+        if let Some(socket) = find(&mut self.sockets, id).filter(|socket| !socket.is_dirty) {
             socket.is_dirty = true;
             self.dirty.push_back(id);
         }
-        Some(&mut socket.output)
     }
 
     /// Sends what was written on all sockets.
@@ -344,7 +350,7 @@
         };
         let was_readable = socket.is_readable;
         if !socket.flush(limit) {
-            self.output(id);
+            self.flush_later(id);
             return false;
         }
         let is_newly_readable = socket.is_readable && !was_readable;
--- a/crates/quartzdrift-lab/src/platform.rs
+++ b/crates/quartzdrift-lab/src/platform.rs
@@ -204,6 +204,13 @@
     Ok((connection, code, u64::from_be_bytes(id), fields, body))
 }
 
+/// An answer that carries a load report.
+fn answer_frame(code: u8, id: u64, body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    frame::write(&mut out, frame::FROM_WORKER, code, id, b"report=queue:0", body);
+    out
+}
+
 impl Worker {
     /// A worker at an address of its own.
     ///
@@ -366,16 +373,12 @@
 
     /// Answers a command with a code and a body.
     pub fn answer(&mut self, connection: usize, code: u8, id: u64, body: &[u8]) {
-        let mut out = Vec::new();
-        frame::write(&mut out, frame::FROM_WORKER, code, id, b"report=queue:0", body);
-        self.send(connection, &out);
+        self.send(connection, &answer_frame(code, id, body));
     }
 
     /// Answers on a connection that may have ended.
     pub fn try_answer(&mut self, connection: usize, code: u8, id: u64, body: &[u8]) {
-        let mut out = Vec::new();
-        frame::write(&mut out, frame::FROM_WORKER, code, id, b"report=queue:0", body);
-        let _ = self.connections[connection].write_all(&out);
+        let _ = self.connections[connection].write_all(&answer_frame(code, id, body));
     }
 
     /// Closes one of its connections.
--- a/crates/quartzdrift-lab/src/stage.rs
+++ b/crates/quartzdrift-lab/src/stage.rs
@@ -77,6 +77,18 @@
     command
 }
 
+/// A program some of whose system calls fail. `failures`: each as strace(1) takes it after `inject=`. The process that is
+/// started is the program's own, and strace follows it from beside.
+pub fn failing(program: &str, failures: &[&str]) -> Command {
+    let mut command = Command::new("strace");
+    command.args(["-D", "-f", "-qq", "-o", "/dev/null"]);
+    for failure in failures {
+        command.args(["-e", &format!("inject={failure}")]);
+    }
+    command.arg(program);
+    command
+}
+
 /// Starts a scheduler that logs to a file beside its configuration.
 fn started(mut command: Command, file: &Path) -> (Child, BufReader<ChildStdout>, SocketAddr) {
     let log = std::fs::File::create(file.with_extension("log")).expect("a file for its log");
@@ -106,14 +118,9 @@
     /// A scheduler some of whose system calls fail. `failures`: each as strace(1) takes it after `inject=`.
     pub fn failing(lab: &str, workers: usize, failures: &[&str]) -> Stage {
         Stage::launched(workers, &[], &|file| {
-            // The scheduler is the process that is started, and strace follows it from beside.
-            let mut command = Command::new("strace");
-            command.args(["-D", "-f", "-qq", "-o", "/dev/null"]);
-            for failure in failures {
-                command.args(["-e", &format!("inject={failure}")]);
-            }
+            let mut command = failing(lab, failures);
             command
-                .args([lab, "scheduler"])
+                .arg("scheduler")
                 .env("GW_CONFIG", file)
                 .stdout(Stdio::piped());
             command
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -12,6 +12,7 @@
 use quartzdrift_lab::model::Machine;
 use quartzdrift_lab::record::{Recorder, Seen};
 use quartzdrift_lab::script;
+use quartzdrift_lab::stage::failing;
 use quartzdrift_lab::traffic::Arrival;
 use quartzdrift_lab::worker::{Command, Config, FakeWorker, Faults};
 use quartzdrift_membership::MemberState;
@@ -48,20 +49,8 @@
 
     /// One some of whose system calls fail, as strace(1) takes it after `inject=`.
     fn start_failing(file: &Path, failure: &str) -> Gateway {
-        let inject = format!("inject={failure}");
-        let mut command = Process::new("strace");
-        command.args([
-            "-D",
-            "-f",
-            "-qq",
-            "-o",
-            "/dev/null",
-            "-e",
-            &inject,
-            LAB,
-            "gateway",
-        ]);
-        command.arg(file);
+        let mut command = failing(LAB, &[failure]);
+        command.arg("gateway").arg(file);
         Gateway::of(command)
     }
 
--- a/crates/quartzdrift-lab/tests/system_calls.rs
+++ b/crates/quartzdrift-lab/tests/system_calls.rs
@@ -65,6 +65,14 @@
     statuses
 }
 
+fn assert_all_served_with(failures: &[&str]) {
+    let statuses = statuses_with(failures);
+    assert!(
+        statuses.iter().all(|status| *status == 200),
+        "{failures:?}: {statuses:?}"
+    );
+}
+
 #[test]
 fn a_newcomer_that_fails_costs_nobody_else_anything() {
     for error in [
@@ -77,22 +85,14 @@
         "EHOSTUNREACH",
         "ETIMEDOUT",
     ] {
-        let statuses = statuses_with(&[&format!("accept4:error={error}:when=2+2")]);
-        assert!(
-            statuses.iter().all(|status| *status == 200),
-            "{error}: {statuses:?}"
-        );
+        assert_all_served_with(&[&format!("accept4:error={error}:when=2+2")]);
     }
 }
 
 #[test]
 fn a_system_without_descriptors_or_buffers_for_a_moment_takes_newcomers_later() {
     for error in ["ENFILE", "ENOBUFS", "ENOMEM"] {
-        let statuses = statuses_with(&[&format!("accept4:error={error}:when=3+5")]);
-        assert!(
-            statuses.iter().all(|status| *status == 200),
-            "{error}: {statuses:?}"
-        );
+        assert_all_served_with(&[&format!("accept4:error={error}:when=3+5")]);
     }
 }
 
@@ -138,6 +138,5 @@
         "recvfrom:error=EINTR:when=2+3",
         "sendto:error=EINTR:when=2+3",
     ];
-    let statuses = statuses_with(&failures);
-    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert_all_served_with(&failures);
 }
--- a/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
@@ -66,16 +66,18 @@
 
     /// By cache status, fewest estimated requests, and at random; those that reject the tenant come last.
     fn best_candidate(&self, candidates: &[Candidate], load: &LoadEstimate) -> Option<Candidate> {
-        let rank = |candidate: &Candidate| {
+        let ranked = candidates.iter().map(|candidate| {
             let status = (candidate.tenant_rejected, candidate.cache_status);
             let requests = (load.requests(candidate) + 1.0) / self.relative_speed(candidate.worker);
-            (status, requests)
-        };
-        let order = |a: &(_, f64), b: &(_, f64)| Ord::cmp(&a.0, &b.0).then(a.1.total_cmp(&b.1));
-        let best = candidates.iter().map(rank).min_by(order)?;
-        let tied = candidates.iter().filter(|candidate| order(&rank(candidate), &best).is_eq());
-        let draw = |candidate: &&Candidate| hash(&(self.settings.seed, self.random_draws, candidate.worker));
-        tied.min_by_key(draw).copied()
+            (status, requests, candidate)
+        });
+        // Only ties need the draw.
+        let draw = |candidate: &Candidate| hash(&(self.settings.seed, self.random_draws, candidate.worker));
+        let best = ranked.min_by(|a, b| {
+            let by_rank = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
+            by_rank.then_with(|| draw(a.2).cmp(&draw(b.2)))
+        });
+        best.map(|(.., candidate)| *candidate)
     }
 
     fn estimate_load(&self, candidates: &mut [Candidate]) -> LoadEstimate {
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -7,10 +7,7 @@
     /// Accepts the clients that wait, as far as there is room or a silent client that makes room; the others wait on, since
     /// each may have sent a request.
     pub(super) fn accept(&mut self) {
-        if !self.sockets.is_acceptable() {
-            return;
-        }
-        let streams = self.sockets.accept(self.client_capacity(), is_silent);
+        let streams = self.sockets.accept(self.budget.clients, self.clients, is_silent);
         let earliest_arrival = self.loop_delay.earliest_arrival();
         let arrived = self.unaccepted_since.unwrap_or(earliest_arrival);
         self.unaccepted_since = (!self.sockets.accepted_all()).then_some(arrived);
@@ -24,16 +21,6 @@
         }
     }
 
-    /// Clients that may be accepted now.
-    fn client_capacity(&self) -> usize {
-        let silent = self
-            .sockets
-            .iter()
-            .filter(|(_, socket)| is_silent(socket))
-            .count();
-        (self.budget.clients + silent).saturating_sub(self.clients)
-    }
-
     /// Makes room for one more client, where there is none: the client that has been silent longest is closed, unless
     /// something has arrived from it that the loop has not been told of yet.
     fn make_room(&mut self) {
@@ -66,4 +53,20 @@
         }
         has_arrived
     }
+
+    /// All clients that are connected.
+    pub(super) fn client_ids(&self) -> Vec<SocketId> {
+        let clients = self.sockets.iter();
+        clients
+            .filter(|(_, socket)| matches!(socket.state, Peer::Client(_)))
+            .map(|(id, _)| id)
+            .collect()
+    }
+
+    /// Reads what has come from any client, and works it.
+    pub(super) fn read_all_clients(&mut self) {
+        for id in self.client_ids() {
+            self.read_pending_input(id);
+        }
+    }
 }
--- a/crates/quartzdrift/src/platform/closing.rs
+++ b/crates/quartzdrift/src/platform/closing.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection is closed only where a last read has found nothing, every request that was read is answered, and the answers
 //! have been sent. What a client sends into that close was never read, and its system tells it so.
+use super::Node;
 use super::client_connection::client;
-use super::{Node, Peer};
 use quartzdrift_http::sockets::SocketId;
 
 /// Rounds in which what has just come is answered before the process ends; whoever sends on without end is cut then.
@@ -43,21 +43,6 @@
         }
     }
 
-    fn client_ids(&self) -> Vec<SocketId> {
-        let clients = self.sockets.iter();
-        clients
-            .filter(|(_, socket)| matches!(socket.state, Peer::Client(_)))
-            .map(|(id, _)| id)
-            .collect()
-    }
-
-    /// Reads what has come from any client, and works it.
-    pub(super) fn read_all_clients(&mut self) {
-        for id in self.client_ids() {
-            self.read_pending_input(id);
-        }
-    }
-
     fn close_client_if_idle(&mut self, id: SocketId) {
         for _ in 0..MAX_LOOKS {
             let has_arrived = self.read_pending_input(id);
