run: an outage of discovery, turned-away attempts and rejections are logged and counted

The whole log of a process through the outage was one line. Now: polls by how they ended, attempts turned away (by worker, while the coordinator is out of reach), rejections by reason in the counts of the last line; at info the beginning of an outage, every 5 s that it goes on, and its end, with the index, the time since the last answer and the workers that turned attempts away; each final answer with its request's id and each attempt turned away at debug. RejectReason is part of Action::Reject and of the final answer.

No decision changes: the recorded decisions are the same. The workspace's tests pass.

--- a/crates/quartzdrift-adapter/src/action/mod.rs
+++ b/crates/quartzdrift-adapter/src/action/mod.rs
@@ -43,7 +43,9 @@
                 write!(out, "\tmax-wait-ns={}", timeout.as_nanos())
             })
         }
-        Action::Reject { request, retry_after } => {
+        Action::Reject {
+            request, retry_after, ..
+        } => {
             write!(out, "\ttid={request}")?;
             retry_after.map_or(Ok(()), |time| write!(out, "\tcool-down-ns={}", time.as_nanos()))
         }
--- a/crates/quartzdrift-adapter/src/action/tests.rs
+++ b/crates/quartzdrift-adapter/src/action/tests.rs
@@ -1,6 +1,6 @@
 //! The line of each action, byte for byte.
 use super::encode;
-use quartzdrift_scheduler::interface::Action;
+use quartzdrift_scheduler::interface::{Action, RejectReason};
 use std::time::Duration;
 
 const WORKER: &str = "10.0.0.1:1";
@@ -36,6 +36,7 @@
     let reject = |retry_after| Action::Reject {
         request: 5,
         retry_after,
+        reason: RejectReason::NoCapacity,
     };
     assert_eq!(line(&reject(None)), "push_back\ti=3\ttid=5\n");
     let timed = line(&reject(Some(Duration::from_millis(2))));
--- a/crates/quartzdrift-lab/src/emulate/clients.rs
+++ b/crates/quartzdrift-lab/src/emulate/clients.rs
@@ -1,5 +1,6 @@
 //! Clients: each call, its time-out, its final answer, and when it comes again.
 use super::*;
+use quartzdrift_scheduler::interface::RejectReason;
 
 impl Sim<'_> {
     pub(super) fn arrive(&mut self, n: usize) {
@@ -53,6 +54,7 @@
                         FinalAnswer::Rejected {
                             retry_after,
                             may_have_executed: None,
+                            reason: RejectReason::NoCapacity,
                         },
                     );
                 }
--- a/crates/quartzdrift-lifecycle/src/answer.rs
+++ b/crates/quartzdrift-lifecycle/src/answer.rs
@@ -1,4 +1,5 @@
 //! Final answers. Frontends match on them to respond to their clients.
+use quartzdrift_scheduler::interface::RejectReason;
 use std::time::Duration;
 
 /// Why a request failed without a worker's answer.
@@ -24,6 +25,8 @@
         /// When the first attempt that may have executed was sent, on the table's clock. A request with an idempotency
         /// key may be retried only within its deduplication window from then on.
         may_have_executed: Option<Duration>,
+        /// Why it was rejected.
+        reason: RejectReason,
     },
     /// Failed, and not safe to retry without knowing what was executed.
     Failed {
--- a/crates/quartzdrift-lifecycle/src/request_table/actions.rs
+++ b/crates/quartzdrift-lifecycle/src/request_table/actions.rs
@@ -4,7 +4,7 @@
 use crate::answer::{FailureReason, FinalAnswer};
 use crate::limits::MAX_LOG_BYTES;
 use crate::output::Output;
-use quartzdrift_scheduler::interface::{Action, RequestId};
+use quartzdrift_scheduler::interface::{Action, RejectReason, RequestId};
 use std::time::Duration;
 
 impl<P: Clone> RequestTable<P> {
@@ -16,7 +16,11 @@
                 timeout,
             } => self.start_attempt(request, worker, timeout),
             Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
-            Action::Reject { request, retry_after } => self.reject(request, retry_after),
+            Action::Reject {
+                request,
+                retry_after,
+                reason,
+            } => self.reject(request, retry_after, reason),
             Action::Fail { request } => self.fail(request),
             Action::SetTimer { delay, name } => self.set_scheduler_timer(delay, name),
             Action::CheckHealth { worker } => self.check_health(worker),
@@ -34,12 +38,13 @@
         }
     }
 
-    fn reject(&mut self, request: RequestId, retry_after: Option<Duration>) {
+    fn reject(&mut self, request: RequestId, retry_after: Option<Duration>, reason: RejectReason) {
         let open = self.requests.get(&request);
         let may_have_executed = open.and_then(|open| open.may_have_executed);
         let answer = FinalAnswer::Rejected {
             retry_after,
             may_have_executed,
+            reason,
         };
         self.conclude(request, answer);
     }
--- a/crates/quartzdrift-lifecycle/src/request_table/shutdown.rs
+++ b/crates/quartzdrift-lifecycle/src/request_table/shutdown.rs
@@ -3,7 +3,7 @@
 use crate::answer::{FailureReason, FinalAnswer};
 use crate::attempt::{AttemptId, AttemptResult};
 use crate::output::Output;
-use quartzdrift_scheduler::interface::{Outcome, RequestId};
+use quartzdrift_scheduler::interface::{Outcome, RejectReason, RequestId};
 use std::time::Duration;
 
 impl<P: Clone> RequestTable<P> {
@@ -43,6 +43,7 @@
             let answer = FinalAnswer::Rejected {
                 retry_after: None,
                 may_have_executed,
+                reason: RejectReason::ShuttingDown,
             };
             (sent, answer)
         } else {
--- a/crates/quartzdrift-lifecycle/tests/request_table/cases.rs
+++ b/crates/quartzdrift-lifecycle/tests/request_table/cases.rs
@@ -1,7 +1,7 @@
 //! One test for each guarantee.
 use crate::harness::{Harness, MS, SLACK, TIMEOUT, new_request, settings};
 use quartzdrift_lifecycle::{FailureReason, FinalAnswer};
-use quartzdrift_scheduler::interface::{EndpointListKind, EndpointState, Idempotency, Outcome};
+use quartzdrift_scheduler::interface::{EndpointListKind, EndpointState, Idempotency, Outcome, RejectReason};
 
 #[test]
 fn a_silent_worker_fails_the_request_at_its_deadline() {
@@ -196,7 +196,8 @@
             answer,
             FinalAnswer::Rejected {
                 retry_after: None,
-                may_have_executed: None
+                may_have_executed: None,
+                reason: RejectReason::ShuttingDown,
             }
         );
         assert_eq!(
--- a/crates/quartzdrift-scheduler/src/interface/action.rs
+++ b/crates/quartzdrift-scheduler/src/interface/action.rs
@@ -3,6 +3,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Why a request is rejected, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectReason {
+    /// Its class is not configured.
+    UnknownClass,
+    /// The endpoint list names no worker.
+    NoWorkers,
+    /// Workers are listed, and none of them may be sent it or has room for it.
+    NoCapacity,
+    /// Several workers have answered that they are at capacity.
+    FleetAtCapacity,
+    /// It has had all its attempts.
+    NoAttemptsLeft,
+    /// Its deadline is too near for an attempt.
+    NoTimeLeft,
+    /// An attempt may have executed, and a further one would not be recognized as its repeat.
+    NotRepeatable,
+    /// The process shuts down. The request lifecycle gives this reason, the scheduler never does.
+    ShuttingDown,
+}
+
 /// Something that the scheduler wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -21,6 +42,8 @@
         request: RequestId,
         /// Time after which the client may try again, where the settings allow to name one.
         retry_after: Option<Duration>,
+        /// Why it is rejected.
+        reason: RejectReason,
     },
     /// Final answer: the request may have been executed, and must not be sent again.
     Fail {
--- a/crates/quartzdrift-scheduler/src/scheduler/admission.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/admission.rs
@@ -1,6 +1,6 @@
 //! Arrival of a request, and whether it may be sent to a worker (again).
 use super::constants::{DEFAULT_RETRY_AFTER, MAX_AT_CAPACITY, MAX_SAMPLES, MAX_SLOTS, MIN_TIME_LEFT};
-use crate::interface::{Action, Idempotency, Request, RequestId};
+use crate::interface::{Action, Idempotency, RejectReason, Request, RequestId};
 use crate::messages::{Message, PlacementQuery, Restriction};
 use crate::state::{OpenRequest, PendingQuery, Scheduler};
 
@@ -10,7 +10,8 @@
         let request_class = request.request_class as usize;
         if request_class >= self.classes.len() {
             let retry_after = self.settings.max_retry_after.map(|max| max.min(DEFAULT_RETRY_AFTER));
-            return self.actions.push(Action::Reject { request: request.request, retry_after });
+            let reason = RejectReason::UnknownClass;
+            return self.actions.push(Action::Reject { request: request.request, retry_after, reason });
         }
         let function = self.function_names.index(request.function, self.now);
         self.record_demand(request, function);
@@ -40,24 +41,34 @@
     /// Looks for a worker for an open request, or answers it where it may not be sent.
     pub(super) fn place(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let may_send = self.may_send(request);
+        let hindrance = self.hindrance(request);
         self.refresh_listed_workers();
-        if !may_send || self.listed_workers.is_empty() {
-            return self.conclude(id);
+        match hindrance {
+            Some(reason) => self.conclude(id, reason),
+            None if self.listed_workers.is_empty() => self.conclude(id, RejectReason::NoWorkers),
+            None => self.query_workers(id),
         }
-        self.query_workers(id);
     }
 
-    fn may_send(&self, request: &OpenRequest) -> bool {
+    /// Why a request may not be sent to any worker; `None`: it may.
+    fn hindrance(&self, request: &OpenRequest) -> Option<RejectReason> {
         let class = &self.classes[request.request_class];
         let is_safe = request.may_have_executed.is_none_or(|first| match class.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::IdempotentWithKey => self.now < first.sent_at + class.deduplication_window,
             Idempotency::NonIdempotent => false,
         });
-        let has_attempts = request.attempts < self.settings.max_attempts;
-        let has_time = request.deadline >= self.now + MIN_TIME_LEFT;
-        is_safe && has_attempts && has_time && request.at_capacity_answers < MAX_AT_CAPACITY
+        if !is_safe {
+            Some(RejectReason::NotRepeatable)
+        } else if request.attempts >= self.settings.max_attempts {
+            Some(RejectReason::NoAttemptsLeft)
+        } else if request.deadline < self.now + MIN_TIME_LEFT {
+            Some(RejectReason::NoTimeLeft)
+        } else if request.at_capacity_answers >= MAX_AT_CAPACITY {
+            Some(RejectReason::FleetAtCapacity)
+        } else {
+            None
+        }
     }
 
     fn query_workers(&mut self, id: RequestId) {
--- a/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts and final answers: starting, retrying and cancelling an attempt; rejecting or failing a request.
 use super::constants::{DEFAULT_RETRY_AFTER, MEDIAN, RETRY_AFTER_RATIO};
-use crate::interface::{Action, DeduplicationScope, Idempotency, RequestId};
+use crate::interface::{Action, DeduplicationScope, Idempotency, RejectReason, RequestId};
 use crate::messages::{Attempt, Candidate, Message, PlacementQuery};
 use crate::state::{Context, OpenRequest, Scheduler, Worker};
 
@@ -34,8 +34,8 @@
         }
     }
 
-    /// The final answer, at once: rejected where the client may safely try again, failed elsewhere.
-    pub(super) fn conclude(&mut self, id: RequestId) {
+    /// The final answer, at once: rejected for `reason` where the client may safely try again, failed elsewhere.
+    pub(super) fn conclude(&mut self, id: RequestId, reason: RejectReason) {
         let Some(request) = self.requests.remove(&id) else { return };
         let class = &self.classes[request.request_class];
         let is_safe = match class.idempotency {
@@ -48,7 +48,7 @@
         }
         let usual = class.duration(MEDIAN, false).unwrap_or(DEFAULT_RETRY_AFTER);
         let retry_after = self.settings.max_retry_after.map(|max| usual.mul_f64(RETRY_AFTER_RATIO).min(max));
-        self.actions.push(Action::Reject { request: id, retry_after });
+        self.actions.push(Action::Reject { request: id, retry_after, reason });
     }
 }
 
--- a/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
@@ -1,7 +1,7 @@
 //! Choice of a worker among the candidates: the ordinary path, and its exceptions (docs/design.md).
 use super::constants::MIN_LOCAL_REQUESTS;
 use super::constants::{BOUND_RATIO, BUSY_FLEET, FLEET_BOUND, MAX_EJECTED_SHARE, MIN_BOUND};
-use crate::interface::RequestId;
+use crate::interface::{RejectReason, RequestId};
 use crate::messages::{CacheStatus, Candidate, PlacementQuery};
 use crate::names::hash;
 use crate::state::Scheduler;
@@ -60,7 +60,7 @@
         self.random_draws += 1;
         match best {
             Some(candidate) => self.start_attempt(id, query, candidate),
-            None => self.conclude(id),
+            None => self.conclude(id, RejectReason::NoCapacity),
         }
     }
 
--- a/crates/quartzdrift-scheduler/tests/decisions.rs
+++ b/crates/quartzdrift-scheduler/tests/decisions.rs
@@ -178,7 +178,7 @@
 fn written(action: &Action) -> String {
     match action {
         Action::StartAttempt { request, worker, timeout } => format!("send {request} {worker} {timeout:?}"),
-        Action::Reject { request, retry_after } => format!("reject {request} {retry_after:?}"),
+        Action::Reject { request, retry_after, .. } => format!("reject {request} {retry_after:?}"),
         Action::Fail { request } => format!("fail {request}"),
         Action::CancelAttempt { request, attempt } => format!("cancel {request} {attempt}"),
         Action::SetTimer { delay, name } => format!("timer {delay:?} {name}"),
--- a/crates/quartzdrift-scheduler/tests/scenario_runner/expectations.rs
+++ b/crates/quartzdrift-scheduler/tests/scenario_runner/expectations.rs
@@ -85,7 +85,7 @@
             None => !allows_time,
         };
         self.expect("push-back, with a time to come back where settings allow", |action| match action {
-            Action::Reject { request, retry_after } => *request == wanted && fits(*retry_after),
+            Action::Reject { request, retry_after, .. } => *request == wanted && fits(*retry_after),
             _ => false,
         })
     }
--- a/crates/quartzdrift/src/gateway/asynchronous.rs
+++ b/crates/quartzdrift/src/gateway/asynchronous.rs
@@ -132,6 +132,7 @@
             FinalAnswer::Rejected {
                 retry_after,
                 may_have_executed,
+                ..
             } => AttemptOutcome::Rejected {
                 retry_after,
                 may_have_executed,
--- a/crates/quartzdrift/src/platform/answers.rs
+++ b/crates/quartzdrift/src/platform/answers.rs
@@ -1,4 +1,5 @@
 //! Reads workers' answers, and ends the attempts that they are for.
+use super::connections::connection;
 use super::worker_connection::{Command, ConnectionPhase, WorkerConnection};
 use super::{Node, Peer};
 use quartzdrift_http::sockets::SocketId;
@@ -6,7 +7,7 @@
 use quartzdrift_platform::attempt_outcome::{self, ConnectionLoss};
 use quartzdrift_platform::frame::{self, Answer, Code, Unreadable};
 use quartzdrift_platform::report;
-use quartzdrift_scheduler::interface::{CacheResult, Outcome, ReportField};
+use quartzdrift_scheduler::interface::{CacheResult, Outcome, ReportField, RequestId};
 
 /// An attempt that an answer has ended.
 struct Answered {
@@ -69,6 +70,9 @@
         let (request, attempt) = (command.request, command.attempt);
         self.attempts.remove(request, attempt);
         tracing::trace!(request, attempt, outcome = ?result.outcome, "ended");
+        if result.outcome == Outcome::AtCapacity {
+            self.count_turned_away(id, request, attempt);
+        }
         if !is_over {
             self.mark_idle(id);
         }
@@ -80,6 +84,19 @@
     }
 }
 
+impl Node {
+    fn count_turned_away(&mut self, id: SocketId, request: RequestId, attempt: u32) {
+        self.counts.turned_away += 1;
+        let Some(connection) = connection(&mut self.sockets, id) else {
+            return;
+        };
+        tracing::debug!(request, attempt, worker = %connection.worker, "attempt turned away");
+        if let Some(worker) = self.workers.get_mut(&connection.worker) {
+            worker.turned_away += 1;
+        }
+    }
+}
+
 impl ReceivedAnswers {
     /// Reads `input` as far as it holds whole answers, and takes the commands that they are for off the connection. `sent`:
     /// bytes that have left on it.
--- a/crates/quartzdrift/src/platform/coordinator.rs
+++ b/crates/quartzdrift/src/platform/coordinator.rs
@@ -20,6 +20,10 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(640);
 /// Between two polls of a coordinator that answers at once with nothing new.
 const MIN_EMPTY_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Between two log lines on a coordinator that stays out of reach.
+const OUTAGE_LOG_INTERVAL: Duration = Duration::from_secs(5);
+/// Most workers that such a line names.
+const MAX_WORKERS_LOGGED: usize = 16;
 /// Gaps in a row after which the whole list is asked for.
 const MAX_GAPS: u32 = 2;
 
@@ -47,6 +51,23 @@
     failures: u32,
     /// Gaps in a row in the events' indexes.
     gaps: u32,
+    /// When a poll was last answered.
+    answered_at: Option<Duration>,
+    /// When the log last said that the coordinator is out of reach.
+    outage_logged_at: Duration,
+}
+
+/// How a poll failed.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+enum PollFailure {
+    #[error("its answer cannot be used")]
+    Refused,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("no connection, or it ended before the answer did: {0:?}")]
+    Disconnected(Failure),
+    #[error("no answer in time")]
+    TimedOut,
 }
 
 impl Coordinator {
@@ -59,6 +80,8 @@
             next_poll_at: Duration::ZERO,
             failures: 0,
             gaps: 0,
+            answered_at: None,
+            outage_logged_at: Duration::ZERO,
         }
     }
 
@@ -82,6 +105,12 @@
         self.next_poll_at = sent_at.map_or(now, |at| (at + pause).max(now));
         self.failures = 0;
         self.gaps = 0;
+        self.answered_at = Some(now);
+    }
+
+    /// Since when no poll was answered.
+    fn silent_for(&self, now: Duration) -> Option<Duration> {
+        self.answered_at.map(|at| now.saturating_sub(at))
     }
 
     /// A poll failed; returns how many had failed before it in a row.
@@ -112,7 +141,7 @@
         let overdue = self.coordinator.poll.take_if(|poll| poll.deadline() <= now);
         if let Some(poll) = overdue {
             self.http.cancel(poll.call);
-            self.poll_failed("no answer in time");
+            self.poll_failed(PollFailure::TimedOut);
         }
         if self.coordinator.poll.is_none() && self.coordinator.next_poll_at <= now {
             self.poll();
@@ -137,12 +166,81 @@
         self.coordinator.poll = Some(Poll { call, sent_at });
     }
 
-    fn poll_failed(&mut self, why: &str) {
-        let failures = self.coordinator.failed(self.now());
-        tracing::debug!(why, failures, "a poll of the coordinator failed; the list stands");
+    fn poll_failed(&mut self, why: PollFailure) {
+        let now = self.now();
+        let failures = self.coordinator.failed(now);
+        self.count_poll_failure(why);
+        tracing::debug!(
+            %why,
+            failures,
+            "a poll of the coordinator failed; the list stands"
+        );
+        let index = self.coordinator.watch.last();
+        let silent_for = self.coordinator.silent_for(now);
         if failures == 0 {
-            tracing::info!(why, "the coordinator cannot be followed; asking again");
+            self.coordinator.outage_logged_at = now;
+            tracing::info!(
+                %why,
+                index,
+                ?silent_for,
+                "the coordinator cannot be followed; asking again"
+            );
+        } else if now >= self.coordinator.outage_logged_at + OUTAGE_LOG_INTERVAL {
+            self.coordinator.outage_logged_at = now;
+            let turned_away = self.turned_away_by_worker();
+            tracing::info!(
+                %why,
+                index,
+                ?silent_for,
+                failures,
+                ?turned_away,
+                "the coordinator is still out of reach"
+            );
+        }
+    }
+
+    fn count_poll_failure(&mut self, why: PollFailure) {
+        let polls = &mut self.counts.polls;
+        let count = match why {
+            PollFailure::Refused => &mut polls.refused,
+            PollFailure::Status(_) => &mut polls.wrong_status,
+            PollFailure::Disconnected(_) => &mut polls.disconnected,
+            PollFailure::TimedOut => &mut polls.timed_out,
+        };
+        *count += 1;
+    }
+
+    /// Workers that have turned attempts away since the coordinator was last heard, the most first, with how many.
+    fn turned_away_by_worker(&self) -> Vec<(Rc<str>, u64)> {
+        let turned_away = self.workers.iter().filter(|(_, worker)| worker.turned_away > 0);
+        let mut counts: Vec<_> = turned_away
+            .map(|(uid, worker)| (uid.clone(), worker.turned_away))
+            .collect();
+        counts.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+        counts.truncate(MAX_WORKERS_LOGGED);
+        counts
+    }
+
+    /// The coordinator was heard: logs the end of an outage, if there was one.
+    fn poll_succeeded(&mut self, is_new: bool) {
+        let now = self.now();
+        self.counts.polls.answered += 1;
+        if self.coordinator.failures > 0 {
+            let (index, failures) = (self.coordinator.watch.last(), self.coordinator.failures);
+            let silent_for = self.coordinator.silent_for(now);
+            let turned_away = self.turned_away_by_worker();
+            tracing::info!(
+                index,
+                failures,
+                ?silent_for,
+                ?turned_away,
+                "the coordinator is followed again"
+            );
         }
+        self.workers
+            .values_mut()
+            .for_each(|worker| worker.turned_away = 0);
+        self.coordinator.answered(now, is_new);
     }
 
     /// A call over HTTP was answered; all of them are polls.
@@ -151,7 +249,7 @@
             return;
         }
         if answer.status != 200 {
-            return self.poll_failed(&format!("status {}", answer.status));
+            return self.poll_failed(PollFailure::Status(answer.status));
         }
         let settings = &self.config.settings;
         let before = self.coordinator.watch.last();
@@ -162,13 +260,13 @@
         match read {
             Ok(changes) => {
                 let is_new = self.coordinator.watch.last() != before;
-                self.coordinator.answered(self.clock.now(), is_new);
+                self.poll_succeeded(is_new);
                 self.apply_changes(changes);
             }
             Err(error) => {
                 self.coordinator.refused(&error);
                 tracing::warn!(?error, "an update of the workers is refused; the list stands");
-                self.poll_failed("its update is refused");
+                self.poll_failed(PollFailure::Refused);
             }
         }
     }
@@ -176,7 +274,7 @@
     /// A call over HTTP failed; all of them are polls.
     pub(super) fn poll_error(&mut self, call: CallId, how: Failure) {
         if self.coordinator.is_poll(call) {
-            self.poll_failed(&format!("{how:?}"));
+            self.poll_failed(PollFailure::Disconnected(how));
         }
     }
 
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -24,6 +24,6 @@
 mod worker_connection;
 mod workers;
 
-pub use counts::Counts;
+pub use counts::{Counts, PollCounts, RejectionCounts};
 use node::Peer;
 pub use node::{Node, RequestContext};
--- a/crates/quartzdrift/src/platform/responses.rs
+++ b/crates/quartzdrift/src/platform/responses.rs
@@ -73,6 +73,12 @@
 
     /// Gives a request its final answer.
     pub(super) fn final_answer(&mut self, request: RequestId, context: &RequestContext, answer: FinalAnswer) {
+        tracing::debug!(
+            request,
+            id = format!("{:016x}", context.id),
+            ?answer,
+            "final answer"
+        );
         self.forget(request, context);
         self.count(answer);
         let body = self
@@ -109,6 +115,9 @@
     }
 
     fn count(&mut self, answer: FinalAnswer) {
+        if let FinalAnswer::Rejected { reason, .. } = answer {
+            self.counts.rejections.add(reason);
+        }
         let count = match answer {
             FinalAnswer::Succeeded => &mut self.counts.succeeded,
             FinalAnswer::Rejected { .. } => &mut self.counts.rejected,
--- a/crates/quartzdrift/src/platform/workers.rs
+++ b/crates/quartzdrift/src/platform/workers.rs
@@ -12,6 +12,8 @@
     /// Its most recent start, as the coordinator states it.
     started: Option<Duration>,
     pub(super) connections: Vec<SocketId>,
+    /// Attempts that it has turned away since the coordinator was last heard.
+    pub(super) turned_away: u64,
 }
 
 impl Node {
@@ -32,6 +34,7 @@
             address,
             started,
             connections: Vec::new(),
+            turned_away: 0,
         });
         displaced
     }
