--- a/crates/quartzdrift-adapter/src/action/mod.rs
+++ b/crates/quartzdrift-adapter/src/action/mod.rs
@@ -27,7 +27,7 @@
         Action::Unload { .. } => "unload",
         Action::Watch { .. } => "watch",
         Action::PollEndpoints => "snapshot",
-        Action::Log { .. } => "trace",
+        Action::Notice(_) | Action::Log { .. } => "trace",
     }
 }
 
@@ -37,6 +37,7 @@
             request,
             worker,
             timeout,
+            ..
         } => {
             write!(out, "\ttid={request}\tworker={worker}")?;
             timeout.map_or(Ok(()), |timeout| {
@@ -67,6 +68,7 @@
         Action::Unload { worker, function } => write!(out, "\tworker={worker}\timage={function}"),
         Action::Watch { on } => write!(out, "\tactive={}", u8::from(*on)),
         Action::PollEndpoints => Ok(()),
+        Action::Notice(notice) => write!(out, "\ttext={notice:?}"),
         Action::Log { text } => write!(out, "\ttext={}", text.replace(['\n', '\r', '\t'], " ")),
     }
 }
--- a/crates/quartzdrift-adapter/src/action/tests.rs
+++ b/crates/quartzdrift-adapter/src/action/tests.rs
@@ -17,6 +17,7 @@
         request: 5,
         worker: WORKER.into(),
         timeout,
+        send_by: None,
     };
     assert_eq!(line(&start(None)), "pass_on\ti=3\ttid=5\tworker=10.0.0.1:1\n");
     let limited = line(&start(Some(Duration::from_millis(2))));
--- a/crates/quartzdrift-lab/src/emulate/schedulers.rs
+++ b/crates/quartzdrift-lab/src/emulate/schedulers.rs
@@ -228,6 +228,7 @@
             | Output::SendToPeer { .. }
             | Output::Watch { .. }
             | Output::PollEndpoints
+            | Output::Notice(_)
             | Output::Log { .. } => {}
         }
     }
--- a/crates/quartzdrift-lab/tests/outage/main.rs
+++ b/crates/quartzdrift-lab/tests/outage/main.rs
@@ -15,7 +15,7 @@
 //! `OUTAGES="3 12 60 0.5 refuses 16 0.3:2; ..." cargo test --release -p quartzdrift-lab --test outage a_draining_worker -- --nocapture`
 //! plays outages by hand: schedulers, workers, requests a second to each scheduler, grace in seconds, what ails discovery, how
 //! long, and drains as seconds since the beginning and number of workers. `OUTAGE_SEEDS=100..150` and `seeded` in place of
-//! `a_draining_worker` play drawn outages.
+//! `a_draining_worker` play drawn outages. `OUTAGE_LOGS` names a folder that the schedulers' logs are kept in.
 mod clients;
 mod discovery;
 mod drawn;
@@ -105,6 +105,7 @@
     }
     for (outage, report) in outages.iter().zip(&reports) {
         assert_eq!(report.sends_past_limit, 0, "{outage}: {report}");
+        assert_eq!(report.sends_past_short_limit, 0, "{outage}: {report}");
         assert_eq!(report.lost, 0, "{outage}: {report}");
         assert!(by_hand.is_ok() || report.served > 0.95, "{outage}: {report}");
     }
--- a/crates/quartzdrift-lifecycle/src/output.rs
+++ b/crates/quartzdrift-lifecycle/src/output.rs
@@ -1,6 +1,6 @@
 //! What the request table asks of the code that owns the sockets.
 use crate::answer::FinalAnswer;
-use quartzdrift_scheduler::interface::RequestId;
+use quartzdrift_scheduler::interface::{Notice, RequestId};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +23,11 @@
         function: Rc<str>,
         /// How long the table waits for its answer. The table keeps the timer; the value is for the worker.
         wait: Duration,
+        /// The last time at which its first byte may leave, on the table's clock; `None`: any time. One of which nothing has left
+        /// by then is to be reported with [`RequestTable::attempt_recalled`].
+        ///
+        /// [`RequestTable::attempt_recalled`]: crate::RequestTable::attempt_recalled
+        send_by: Option<Duration>,
         /// The frontend's payload.
         payload: P,
     },
@@ -113,6 +118,8 @@
     },
     /// Ask for the whole endpoint list.
     PollEndpoints,
+    /// Something to be logged and counted.
+    Notice(Notice),
     /// Write a line to the log.
     Log {
         /// The line, at most 512 bytes where the scheduler wrote it.
--- a/crates/quartzdrift-lifecycle/src/request_table/actions.rs
+++ b/crates/quartzdrift-lifecycle/src/request_table/actions.rs
@@ -14,7 +14,8 @@
                 request,
                 worker,
                 timeout,
-            } => self.start_attempt(request, worker, timeout),
+                send_by,
+            } => self.start_attempt(request, worker, timeout, send_by),
             Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Action::Reject {
                 request,
@@ -34,6 +35,7 @@
             Action::SendToPeer { to, bytes } => self.outputs.push(Output::SendToPeer { to, bytes }),
             Action::Watch { on } => self.outputs.push(Output::Watch { on }),
             Action::PollEndpoints => self.outputs.push(Output::PollEndpoints),
+            Action::Notice(notice) => self.outputs.push(Output::Notice(notice)),
             Action::Log { text } => self.log(text),
         }
     }
--- a/crates/quartzdrift-lifecycle/src/request_table/attempts.rs
+++ b/crates/quartzdrift-lifecycle/src/request_table/attempts.rs
@@ -45,7 +45,13 @@
     }
 
     /// Sends an attempt, unless a limit forbids it: then the scheduler is notified that it was never sent.
-    pub(super) fn start_attempt(&mut self, request: RequestId, worker: Rc<str>, timeout: Option<Duration>) {
+    pub(super) fn start_attempt(
+        &mut self,
+        request: RequestId,
+        worker: Rc<str>,
+        timeout: Option<Duration>,
+        send_by: Option<Duration>,
+    ) {
         let has_attempts = self.attempts_of(request).next().is_some();
         let Some(open) = self.requests.get_mut(&request) else {
             self.outputs.push(Output::Log {
@@ -71,6 +77,7 @@
             worker: worker.clone(),
             function: open.function.clone(),
             wait: timeout.unwrap_or(left),
+            send_by,
             payload: open.payload.clone(),
         });
         self.attempts.insert(id, Attempt::sent(worker, self.now, timer));
--- a/crates/quartzdrift-lifecycle/src/request_table/scheduler_inputs.rs
+++ b/crates/quartzdrift-lifecycle/src/request_table/scheduler_inputs.rs
@@ -19,6 +19,22 @@
         self.settle();
     }
 
+    /// The endpoint list was current at `as_of`, as far as it was passed on until now.
+    pub fn confirm_endpoints(&mut self, now: Duration, as_of: Duration) {
+        self.advance(now);
+        self.feed(Event::EndpointsConfirmed { as_of });
+        self.settle();
+    }
+
+    /// A worker on the endpoint list has ended a connection.
+    pub fn worker_disconnected(&mut self, now: Duration, worker: &str) {
+        self.advance(now);
+        if self.workers.contains_key(worker) {
+            self.feed(Event::WorkerDisconnected { worker });
+            self.settle();
+        }
+    }
+
     /// The number of schedulers that share the workers, this one included, in place of the settings' number.
     pub fn set_scheduler_count(&mut self, now: Duration, count: u32) {
         self.advance(now);
--- a/crates/quartzdrift-platform/src/config.rs
+++ b/crates/quartzdrift-platform/src/config.rs
@@ -1,5 +1,5 @@
 //! The configuration file that the platform gives a scheduler (`GW_CONFIG`).
-use crate::coordinator::WatchResponse;
+use crate::coordinator::{TOLD_AFTER_BREAK, WatchResponse};
 use serde::Deserialize;
 use serde_json::Value;
 use std::io::Read as _;
@@ -86,7 +86,8 @@
 /// One line that says what is wrong with it.
 pub fn read(bytes: &[u8]) -> Result<Config, String> {
     let raw: Raw = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
-    let settings = crate::settings::read(&raw.settings)?;
+    let mut settings = crate::settings::read(&raw.settings)?;
+    settings.rules.endpoint_lease = Some(TOLD_AFTER_BREAK);
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
--- a/crates/quartzdrift-platform/src/coordinator.rs
+++ b/crates/quartzdrift-platform/src/coordinator.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// What the coordinator would have told counts as told so long after its connections break, at the earliest that the protocol
+/// names; a silence and a new configuration leave more time.
+pub const TOLD_AFTER_BREAK: Duration = Duration::from_secs(2);
 /// Most workers that one event may name; a fleet is far smaller.
 pub const MAX_TARGETS: usize = 100_000;
 
@@ -69,6 +72,18 @@
     pub workers: Vec<EndpointUpdate>,
 }
 
+/// What an answer says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reading {
+    /// The changes that it makes, in order.
+    pub changes: Vec<EndpointChange>,
+    /// It holds all events from the one that was asked for to the coordinator's last, and nothing else: with its changes the
+    /// list is what the coordinator had when it answered.
+    pub is_current: bool,
+    /// It brings no event, neither a new nor a known one.
+    pub is_empty: bool,
+}
+
 /// Why an answer is refused. The list of workers stays as it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchError {
@@ -164,30 +179,59 @@
     }
 }
 
+/// Whether an answer holds each event behind the one numbered `asked`, up to the last one that it names. An event with the
+/// whole list stands for those before it.
+fn is_complete(response: &WatchResponse, asked: u64) -> bool {
+    let mut last = asked;
+    for update in &response.updates {
+        let whole = update.endpoints.as_ref().is_some_and(|endpoints| endpoints.all);
+        let follows = update.index == last + 1 || whole && update.index > last;
+        if !follows {
+            return false;
+        }
+        last = update.index;
+    }
+    response.index == Some(last)
+}
+
 impl EndpointWatch {
     /// Index of the last applied event, to follow from.
     pub fn last(&self) -> u64 {
         self.last
     }
 
-    /// Reads and applies an answer of the coordinator; see [`EndpointWatch::take`].
+    /// Index of the event before the last applied one: following from there has the coordinator tell the last one again, at
+    /// once, which shows that it is there and has the same events.
+    pub fn before_last(&self) -> u64 {
+        self.last.saturating_sub(1)
+    }
+
+    /// Reads and applies the coordinator's answer to a poll that followed from the event numbered `asked`; see
+    /// [`EndpointWatch::take`].
     ///
     /// # Errors
     /// It cannot be read, has a gap, or is older than what was applied; nothing of it is applied.
     pub fn read(
         &mut self,
         body: &[u8],
+        asked: u64,
         zones: &[String],
         kinds: &[String],
-    ) -> Result<Vec<EndpointChange>, WatchError> {
+    ) -> Result<Reading, WatchError> {
         let response: WatchResponse =
             serde_json::from_slice(body).map_err(|e| WatchError::Unreadable(e.to_string()))?;
         let (have, got) = (self.last, response.index.unwrap_or(u64::MAX));
+        let is_complete = is_complete(&response, asked);
+        let is_empty = response.updates.is_empty();
         let changes = self.take(response, zones, kinds)?;
         if self.last == have && got < have {
             Err(WatchError::Stale { have, got })
         } else {
-            Ok(changes)
+            Ok(Reading {
+                changes,
+                is_current: is_complete && self.last == got,
+                is_empty,
+            })
         }
     }
 
--- a/crates/quartzdrift-platform/src/coordinator/tests.rs
+++ b/crates/quartzdrift-platform/src/coordinator/tests.rs
@@ -17,8 +17,14 @@
 }
 
 fn read(watch: &mut EndpointWatch, body: &[u8]) -> Result<Vec<EndpointChange>, WatchError> {
+    let asked = watch.last();
+    read_asked(watch, asked, body).map(|reading| reading.changes)
+}
+
+fn read_asked(watch: &mut EndpointWatch, asked: u64, body: &[u8]) -> Result<Reading, WatchError> {
     watch.read(
         body,
+        asked,
         &["west".to_owned(), "east".to_owned()],
         &["std".to_owned(), "big".to_owned()],
     )
@@ -148,3 +154,43 @@
         .collect();
     assert_eq!(kinds, [2, 2, 2, 2, 1, 0]);
 }
+
+/// Whether an answer to a poll that follows from the event numbered `asked` shows that a list is current whose last event is 3.
+fn is_current(asked: u64, body: &[u8]) -> Option<bool> {
+    let mut watch = EndpointWatch::default();
+    let events = [1, 2, 3].map(|index| event(index, index == 1, &[]));
+    read(&mut watch, &response(3, &events)).unwrap();
+    read_asked(&mut watch, asked, body)
+        .ok()
+        .map(|reading| reading.is_current)
+}
+
+#[test]
+fn only_an_answer_with_every_event_up_to_the_coordinators_last_shows_that_the_list_is_current() {
+    let news = |index| event(index, false, &[]);
+    for (asked, body, expected) in [
+        (3, response(3, &[]), Some(true)),
+        (3, response(4, &[news(4)]), Some(true)),
+        (3, response(5, &[news(4), news(5)]), Some(true)),
+        (3, response(9, &[event(9, true, &[])]), Some(true)),
+        (2, response(3, &[news(3)]), Some(true)),
+        (2, response(4, &[news(3), news(4)]), Some(true)),
+        // Events that it names are missing, or come that were not asked for.
+        (3, response(4, &[]), Some(false)),
+        (3, response(5, &[news(4)]), Some(false)),
+        (3, response(3, &[news(3)]), Some(false)),
+        (3, response(4, &[news(3), news(4)]), Some(false)),
+        (2, response(3, &[]), Some(false)),
+        (3, b"{\"updates\":[]}".to_vec(), Some(false)),
+        (3, b"{}".to_vec(), Some(false)),
+        // It has gone back, has a gap, or cannot be read.
+        (3, response(2, &[]), None),
+        (2, response(2, &[]), None),
+        (3, response(6, &[news(6)]), None),
+        (3, b"".to_vec(), None),
+        (3, b"{\"index\":]".to_vec(), None),
+    ] {
+        let text = String::from_utf8_lossy(&body).into_owned();
+        assert_eq!(is_current(asked, &body), expected, "asked {asked}: {text}");
+    }
+}
--- a/crates/quartzdrift-platform/src/settings.rs
+++ b/crates/quartzdrift-platform/src/settings.rs
@@ -238,6 +238,7 @@
         cold_from: number(from, "cold-from"),
         cold_for: span(from, "cold-ns"),
         drain_grace: span(from, "drain-grace-ns"),
+        endpoint_lease: None,
         fall_multiple: number(from, "fall-multiple"),
         fall_window: span(from, "fall-ns"),
     }
--- a/crates/quartzdrift-scheduler/src/interface/action.rs
+++ b/crates/quartzdrift-scheduler/src/interface/action.rs
@@ -16,6 +16,8 @@
     FleetAtCapacity,
     /// It has had all its attempts.
     NoAttemptsLeft,
+    /// The endpoint list is out of date, and no worker has proven lately that it takes work.
+    NoProvenWorker,
     /// Its deadline is too near for an attempt.
     NoTimeLeft,
     /// An attempt may have executed, and a further one would not be recognized as its repeat.
@@ -24,6 +26,49 @@
     ShuttingDown,
 }
 
+/// What a worker may be taken to do where the endpoint list is out of date.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WorkerStanding {
+    /// It is sent work by the list's word.
+    #[default]
+    Listed,
+    /// It is sent work as it took some lately.
+    Proven,
+    /// It turned an attempt away, and is used only where no other is left.
+    Suspected,
+    /// It may have been draining for longer than the grace, and is sent nothing.
+    Unproven,
+}
+
+/// A change of what the scheduler goes by, for logs and metrics.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// The endpoint list no longer holds by itself.
+    LeaseLapsed {
+        /// Time since it was last known to be current; `None`: it was not since the start.
+        age: Option<Duration>,
+    },
+    /// The list is current again.
+    LeaseRenewed {
+        /// How old it had become; `None`: it had not been current since the start.
+        age: Option<Duration>,
+    },
+    /// While the list does not hold, a worker's standing has changed.
+    WorkerStanding {
+        /// Name of the worker.
+        worker: Rc<str>,
+        /// Its standing from now on.
+        standing: WorkerStanding,
+    },
+    /// While the list does not hold, the last worker that may be sent work is lost, or there is one again.
+    UsableWorkers {
+        /// Workers that the list names as up.
+        listed: usize,
+        /// Those of them that may be sent work.
+        usable: usize,
+    },
+}
+
 /// Something that the scheduler wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -35,6 +80,9 @@
         worker: Rc<str>,
         /// Time after which the attempt is to end as timed out; `None`: it is not limited.
         timeout: Option<Duration>,
+        /// The last time at which its first byte may leave; `None`: any time. An attempt that has not left by then is to
+        /// end as never sent.
+        send_by: Option<Duration>,
     },
     /// Final answer: the request was not executed, or may safely be sent again by its client.
     Reject {
@@ -104,6 +152,8 @@
     },
     /// Fetch the endpoint list once.
     PollEndpoints,
+    /// Something to be logged and counted.
+    Notice(Notice),
     /// Write a line to the log.
     Log {
         /// The line.
--- a/crates/quartzdrift-scheduler/src/interface/event.rs
+++ b/crates/quartzdrift-scheduler/src/interface/event.rs
@@ -146,6 +146,16 @@
         /// Workers; those that the list removed are [`EndpointState::Gone`].
         entries: Vec<Endpoint<'a>>,
     },
+    /// The endpoint list was current, as far as it was passed on until now.
+    EndpointsConfirmed {
+        /// The latest time of which that is certain: not that of the answer, but that of the question.
+        as_of: Duration,
+    },
+    /// A worker has ended a connection that carried nothing.
+    WorkerDisconnected {
+        /// Name of the worker.
+        worker: &'a str,
+    },
     /// A request arrived.
     Request(Request<'a>),
     /// An attempt ended.
--- a/crates/quartzdrift-scheduler/src/interface/mod.rs
+++ b/crates/quartzdrift-scheduler/src/interface/mod.rs
@@ -6,7 +6,7 @@
 mod event;
 mod settings;
 
-pub use action::{Action, RejectReason};
+pub use action::{Action, Notice, RejectReason, WorkerStanding};
 pub use event::{
     CacheResult, Endpoint, EndpointListKind, EndpointState, Event, Outcome, Request, RequestId, UsageForecast,
 };
--- a/crates/quartzdrift-scheduler/src/interface/settings.rs
+++ b/crates/quartzdrift-scheduler/src/interface/settings.rs
@@ -106,6 +106,9 @@
     pub cold_for: Option<Duration>,
     /// Time for which a draining worker goes on with its attempts.
     pub drain_grace: Option<Duration>,
+    /// Time for which the endpoint list holds after the last sign that it was current: what discovery would have told
+    /// counts as told then, and at once after that. `None`: the list holds without end.
+    pub endpoint_lease: Option<Duration>,
     /// A worker fails if it is sent more than this many times what it can do, over the window that follows.
     pub fall_multiple: Option<f64>,
     /// The window in which work sent to a worker is compared with its capacity.
--- a/crates/quartzdrift-scheduler/src/messages.rs
+++ b/crates/quartzdrift-scheduler/src/messages.rs
@@ -30,6 +30,8 @@
     AttemptEnded { end: AttemptEnd, tenant_rejected: bool },
     /// To the request table: look for a worker for this request.
     PlaceRequest(RequestId),
+    /// To a worker: a connection to it has ended.
+    Disconnected,
     /// To a worker: some time has passed.
     Tick,
     /// To the request table: this attempt is in flight at a worker that answers nothing.
@@ -45,6 +47,8 @@
     pub(crate) request_class: usize,
     pub(crate) tenant: u32,
     pub(crate) function: usize,
+    /// It carries an idempotency key: a success may be that of an earlier request.
+    pub(crate) has_key: bool,
     /// Set once an attempt may have executed.
     pub(crate) restriction: Option<Restriction>,
     /// Idempotent with attempts left: may be sent to a worker of doubtful health.
@@ -94,11 +98,23 @@
     /// Our own attempts that were given up and may still run.
     pub(crate) abandoned: usize,
     pub(crate) is_ejected: bool,
+    /// It turned an attempt away while the endpoint list could not be confirmed.
+    pub(crate) is_suspected: bool,
     /// It rejected this tenant alone of late.
     pub(crate) tenant_rejected: bool,
     pub(crate) is_warming_up: bool,
     /// Its slow-start budget has no room for the request.
     pub(crate) slow_start_spent: bool,
+    /// The last time at which something may be sent to it; `None`: any time.
+    pub(crate) usable_until: Option<Duration>,
+    /// When it was last sent what may prove that it takes work, if the endpoint list is doubted and a renewal is due.
+    pub(crate) renewal: Option<Renewal>,
+}
+
+/// A worker whose proof has to be renewed soon, or that has none.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Renewal {
+    pub(crate) last_sent: Option<Duration>,
 }
 
 /// An attempt in flight at a worker.
--- a/crates/quartzdrift-scheduler/src/scheduler/admission.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/admission.rs
@@ -94,6 +94,7 @@
             request_class: request.request_class,
             tenant: request.tenant,
             function: request.function,
+            has_key,
             restriction,
             may_retry: self.may_retry(request, 1),
             weight: self.weight(request.request_class),
--- a/crates/quartzdrift-scheduler/src/scheduler/affinity.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/affinity.rs
@@ -12,6 +12,7 @@
     pub(super) fn prefer(&self, request: &OpenRequest, query: &PlacementQuery, candidates: &mut [Candidate]) {
         let slots = request.concurrency_slots;
         let preferred = self.preferred(request.function, slots, query.weight, candidates.len());
+        let preferred = preferred.max(self.min_preferred());
         let name = self.function_names.name(request.function);
         let order =
             |(at, c): (usize, &Candidate)| (c.tenant_rejected, Reverse(self.affinity(&name, c.worker)), at);
--- a/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
@@ -22,7 +22,8 @@
         self.mailbox.send_to_worker(candidate.worker, Message::AttemptStarted(attempt));
         let worker = self.worker_names.name(candidate.worker);
         let timeout = is_limited.then_some(timeout);
-        self.actions.push(Action::StartAttempt { request: id, worker, timeout });
+        let send_by = candidate.usable_until;
+        self.actions.push(Action::StartAttempt { request: id, worker, timeout, send_by });
     }
 
     /// Cancels an attempt at an unresponsive worker where the request may be sent again.
@@ -47,7 +48,11 @@
             return self.actions.push(Action::Fail { request: id });
         }
         let usual = class.duration(MEDIAN, false).unwrap_or(DEFAULT_RETRY_AFTER);
-        let retry_after = self.settings.max_retry_after.map(|max| usual.mul_f64(RETRY_AFTER_RATIO).min(max));
+        let wait = match reason {
+            RejectReason::NoProvenWorker => DEFAULT_RETRY_AFTER,
+            _ => usual.mul_f64(RETRY_AFTER_RATIO),
+        };
+        let retry_after = self.settings.max_retry_after.map(|max| wait.min(max));
         self.actions.push(Action::Reject { request: id, retry_after, reason });
     }
 }
--- a/crates/quartzdrift-scheduler/src/scheduler/candidate.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/candidate.rs
@@ -9,7 +9,8 @@
     pub(super) fn answer(&mut self, query: &PlacementQuery, context: Context) -> Option<Candidate> {
         self.update_unresponsive_ejection(query);
         let is_outside = query.restriction.is_some_and(|restriction| !restriction.permits(&self.endpoint));
-        if self.endpoint.state != EndpointState::Up || is_outside {
+        // The list may be out of date: its word alone would send to workers that drain, for as long as it stays so.
+        if self.endpoint.state != EndpointState::Up || is_outside || !self.may_be_sent(context) {
             return None;
         }
         let now = context.now;
@@ -30,8 +31,11 @@
             abandoned: self.abandoned_until.len(),
             is_ejected: self.is_ejected(query, now),
             tenant_rejected: self.tenant_rejected_until.get(&query.tenant).is_some_and(|&until| until > now),
+            is_suspected: self.is_suspected(context),
             is_warming_up: self.warming_since.is_some(),
             slow_start_spent,
+            usable_until: self.usable_until(context),
+            renewal: self.due_renewal(context),
         })
     }
 }
--- a/crates/quartzdrift-scheduler/src/scheduler/constants.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/constants.rs
@@ -57,6 +57,9 @@
 pub(super) const SLOW_LOAD_RATIO: f64 = 4.0; // of a slow load to the usual one: far beyond chance
 pub(super) const PREFETCH_PAUSE: Duration = millis(5000); // after a failed or slow load: the store's recovery
 
+pub(super) const LEASE_DOUBT_SHARE: f64 = 0.65; // of the list's lease: a confirmation is overdue by then
+pub(super) const MIN_PREFERRED_IN_DOUBT: usize = 6; // workers of a function: one or two may be draining
+pub(super) const RENEWAL_SHARE: f64 = 0.5; // of the drain grace, after which a proof is renewed: two tries in it
 pub(super) const WATCH_RETRY_DELAY: Duration = millis(1000); // after a watch failed: its server is crowded
 pub(super) const SWEEP_INTERVAL: Duration = millis(60_000); // of expired entries and names: many keep-alives
 pub(super) const FORGET_AFTER: Duration = millis(600_000); // a worker left: no list brings it back later
--- a/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
@@ -18,7 +18,8 @@
             match recipient {
                 Recipient::RequestTable => self.receive(message),
                 Recipient::Worker(index) => {
-                    let context = Context { now: self.now, settings: &self.settings };
+                    let lease = self.lease_view();
+                    let context = Context { now: self.now, settings: &self.settings, lease };
                     self.workers[index].receive(message, context, &mut self.mailbox);
                 }
             }
@@ -29,6 +30,11 @@
     fn dispatch(&mut self, event: Event) {
         match event {
             Event::EndpointList { form, entries } => self.update_endpoints(form, &entries),
+            Event::EndpointsConfirmed { as_of } => self.confirm_endpoints(as_of),
+            Event::WorkerDisconnected { worker } => {
+                let worker = self.worker_index(worker);
+                self.mailbox.send_to_worker(worker, Message::Disconnected);
+            }
             Event::Request(request) => self.admit(&request),
             Event::AttemptEnded {
                 request,
@@ -69,6 +75,7 @@
             | Message::Query(_)
             | Message::AttemptStarted(_)
             | Message::AttemptEnded { .. }
+            | Message::Disconnected
             | Message::Tick => {}
         }
     }
@@ -95,6 +102,7 @@
             Message::AttemptEnded { end, tenant_rejected } => {
                 self.end_attempt(&end, tenant_rejected, context)
             }
+            Message::Disconnected => self.record_disconnected(context),
             Message::Tick => self.check_responsiveness(context.now, mailbox),
             Message::QueryAnswered(_) | Message::PlaceRequest(_) | Message::WorkerUnresponsive { .. } => {}
         }
--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
@@ -11,6 +11,7 @@
             self.actions.push(Action::SetTimer { delay: TICK, name: "tick" });
             self.watch_at = self.settings.must_watch.then_some(self.now);
         }
+        self.lease.is_failing |= form == EndpointListKind::Failed;
         if form == EndpointListKind::Failed && self.settings.must_watch {
             self.watch_at = Some(self.now + self.settings.watch_retry_delay);
         }
@@ -54,6 +55,7 @@
         for worker in self.workers.iter().filter(|worker| !worker.attempts.is_empty()) {
             self.mailbox.send_to_worker(worker.index, Message::Tick);
         }
+        self.check_lease();
         self.actions.push(Action::SetTimer { delay: TICK, name: "tick" });
         if self.watch_at.take_if(|at| *at <= self.now).is_some() {
             self.actions.push(Action::Watch { on: true });
--- a/crates/quartzdrift-scheduler/src/scheduler/mod.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod outcome;
 mod outlier;
 
+mod endpoint_lease;
 mod endpoint_list;
 mod housekeeping;
 mod prefetch;
--- a/crates/quartzdrift-scheduler/src/scheduler/outcome.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/outcome.rs
@@ -24,6 +24,7 @@
     }
 
     fn record_outcome(&mut self, worker: usize, end: &AttemptEnd, tenant_rejected: bool) {
+        let is_doubted = self.lease_view().is_doubted;
         let Some(request) = self.requests.get_mut(&end.request) else { return };
         let current = request.take_current(self.now);
         match end.outcome {
@@ -41,6 +42,8 @@
                 let attempt = UncertainAttempt { worker, sent_at: current.sent_at };
                 request.may_have_executed.get_or_insert(attempt);
             }
+            // A worker that drains turns away whatever comes, which tells nothing of the others.
+            Outcome::AtCapacity if is_doubted => {}
             Outcome::AtCapacity => request.at_capacity_answers += u32::from(!tenant_rejected),
             // The load would fail at every worker.
             Outcome::CacheMiss if end.cache_result == CacheResult::LoadFailed => {
@@ -65,7 +68,7 @@
 
 impl Worker {
     pub(super) fn end_attempt(&mut self, end: &AttemptEnd, tenant_rejected: bool, context: Context) {
-        let Context { now, settings } = context;
+        let Context { now, settings, .. } = context;
         let local_load = self.attempts.len() as f64;
         let Some(attempt) = self.remove_attempt(end.request, end.attempt) else { return };
         if let Some(load) = end.load {
@@ -75,6 +78,12 @@
         if matches!(end.outcome, Outcome::Succeeded | Outcome::Error | Outcome::Reset | Outcome::AtCapacity) {
             self.last_answer = now;
         }
+        match end.outcome {
+            Outcome::Succeeded if !attempt.query.has_key => self.record_taken(attempt.sent_at, context),
+            Outcome::AtCapacity => self.record_turned_away(context),
+            Outcome::Reset | Outcome::ConnectFailed => self.record_disconnected(context),
+            _ => {}
+        }
         let entry = self.cache.entry(attempt.query.function).or_default();
         let health = self.health.entry(attempt.query.request_class).or_default();
         let until = now + settings.keep_alive;
--- a/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
@@ -1,6 +1,7 @@
 //! Choice of a worker among the candidates: the ordinary path, and its exceptions (docs/design.md).
 use super::constants::MIN_LOCAL_REQUESTS;
 use super::constants::{BOUND_RATIO, BUSY_FLEET, FLEET_BOUND, MAX_EJECTED_SHARE, MIN_BOUND};
+use super::endpoint_lease::renewed_candidate;
 use crate::interface::{RejectReason, RequestId};
 use crate::messages::{CacheStatus, Candidate, PlacementQuery};
 use crate::names::hash;
@@ -31,10 +32,15 @@
     pub(super) fn choose_worker(&mut self, id: RequestId, query: PlacementQuery) {
         let mut candidates = std::mem::take(&mut self.candidates);
         let Some(request) = self.requests.get(&id) else { return };
+        let no_worker_is_usable = candidates.is_empty() && !self.lease_holds();
         let warming_up = candidates.iter().filter(|candidate| candidate.is_warming_up).count();
         let fleet_is_warming = self.measured.predates_loss && warming_up * 2 > candidates.len();
         self.measured.predates_loss = fleet_is_warming;
         candidates.retain(|candidate| fleet_is_warming || !candidate.slow_start_spent);
+        let is_unsuspected = |candidate: &Candidate| !candidate.is_suspected;
+        if candidates.iter().any(is_unsuspected) {
+            candidates.retain(is_unsuspected);
+        }
         // With many ejected the fault is not their own, and none is skipped.
         let ejected = candidates.iter().filter(|candidate| candidate.is_ejected).count();
         let skips_ejected = ejected as f64 <= MAX_EJECTED_SHARE * candidates.len() as f64;
@@ -56,10 +62,12 @@
             candidates.retain(|c| c.cache_status != CacheStatus::NotWarm && !c.slow_start_spent);
             candidates.retain(|candidate| load.requests(candidate) < bound);
         }
-        let best = self.best_candidate(&candidates, &load);
+        let renewed = renewed_candidate(&candidates).copied();
+        let best = renewed.or_else(|| self.best_candidate(&candidates, &load));
         self.random_draws += 1;
         match best {
             Some(candidate) => self.start_attempt(id, query, candidate),
+            None if no_worker_is_usable => self.conclude(id, RejectReason::NoProvenWorker),
             None => self.conclude(id, RejectReason::NoCapacity),
         }
     }
--- a/crates/quartzdrift-scheduler/src/scheduler/slow_start.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/slow_start.rs
@@ -7,7 +7,7 @@
     /// Whether a request fits our share of what the worker can take in this half window. A rest of less than
     /// a request is rounded at random for each half window: one request of each scheduler would be many.
     pub(super) fn has_slow_start_budget(&mut self, query: &PlacementQuery, context: Context) -> bool {
-        let Some(since) = self.warming_since else { return true };
+        let Some(since) = self.warming_since.max(self.possible_start(context)) else { return true };
         let settings = context.settings;
         let age = context.now.saturating_sub(since);
         if age >= settings.slow_start_duration {
--- a/crates/quartzdrift-scheduler/src/state/mod.rs
+++ b/crates/quartzdrift-scheduler/src/state/mod.rs
@@ -1,11 +1,13 @@
 //! State that the decisions read and write. Types only; they decide nothing by themselves.
 mod class;
+mod lease;
 mod request;
 mod scheduler;
 mod settings;
 mod worker;
 
 pub(crate) use class::ClassState;
+pub(crate) use lease::{EndpointLease, LeaseView, Proof};
 pub(crate) use request::{OpenRequest, PendingQuery, UncertainAttempt};
 pub use scheduler::{Scheduler, TableSizes};
 pub(crate) use settings::DerivedSettings;
--- a/crates/quartzdrift-scheduler/src/state/scheduler.rs
+++ b/crates/quartzdrift-scheduler/src/state/scheduler.rs
@@ -1,5 +1,5 @@
 //! The scheduler's state, and its tables of names.
-use super::{ClassState, DerivedSettings, OpenRequest, PendingQuery, Worker};
+use super::{ClassState, DerivedSettings, EndpointLease, OpenRequest, PendingQuery, Worker};
 use crate::interface::{Action, EndpointState, RequestId};
 use crate::mailbox::Mailbox;
 use crate::measure::{DecayingSums, Histogram, Measurements, RelativeSpeeds, Window};
@@ -51,6 +51,7 @@
     pub(crate) prefetch_durations: Histogram,
     /// The start of a process by which the endpoint list's clock is known best, and when it was told.
     pub(crate) latest_start: Option<(Duration, Duration)>,
+    pub(crate) lease: EndpointLease,
     /// When to watch the endpoint list.
     pub(crate) watch_at: Option<Duration>,
     /// Actions of the event at hand.
--- a/crates/quartzdrift-scheduler/src/state/settings.rs
+++ b/crates/quartzdrift-scheduler/src/state/settings.rs
@@ -10,6 +10,10 @@
     /// Least share of its capacity that a worker has after its start.
     pub(crate) slow_start_min_capacity: f64,
     pub(crate) slow_start_duration: Duration,
+    /// How long the endpoint list holds once discovery is silent; `None`: without end.
+    pub(crate) endpoint_lease: Option<Duration>,
+    /// How long a draining worker may still be sent something.
+    pub(crate) drain_grace: Duration,
     /// Half the window of the slow-start rule, never zero.
     pub(crate) slow_start_half_window: Duration,
     /// Work that a worker may be sent in a window, in multiples of what it can do in it.
@@ -58,6 +62,8 @@
             load_quota_burst: quota_window.map_or(f64::INFINITY, |_| copies.load_quota_burst.unwrap_or(0.0)),
             load_quota_share: copies.load_quota_share.unwrap_or(0.0),
             slow_start_duration: settings.rules.cold_for.unwrap_or_default(),
+            endpoint_lease: settings.rules.endpoint_lease,
+            drain_grace: settings.rules.drain_grace.unwrap_or_default(),
             can_cancel: settings.allowed.cancel,
             must_watch: settings.discovery == DiscoveryMode::Poll,
             load_commands: copies.load_commands,
--- a/crates/quartzdrift-scheduler/src/state/worker.rs
+++ b/crates/quartzdrift-scheduler/src/state/worker.rs
@@ -1,6 +1,6 @@
 //! State of a worker, as this scheduler knows it.
-use super::DerivedSettings;
-use crate::interface::RequestId;
+use super::{DerivedSettings, LeaseView, Proof};
+use crate::interface::{RequestId, WorkerStanding};
 use crate::messages::{Attempt, EndpointRecord};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -61,6 +61,7 @@
 pub(crate) struct Context<'a> {
     pub(crate) now: Duration,
     pub(crate) settings: &'a DerivedSettings,
+    pub(crate) lease: LeaseView,
 }
 
 /// State of a worker, as this scheduler knows it.
@@ -85,6 +86,12 @@
     pub(crate) warming_since: Option<Duration>,
     pub(crate) slow_start_use: SlowStartUse,
     pub(crate) at_capacity_until: Duration,
+    /// Commands that it took lately.
+    pub(crate) proof: Option<Proof>,
+    /// When it turned an attempt away while the endpoint list could not be confirmed.
+    pub(crate) suspected_at: Option<Duration>,
+    /// The standing that was noticed last.
+    pub(crate) noticed_standing: WorkerStanding,
     /// Least ejection time after it was unresponsive.
     pub(crate) unresponsive_ejection: Duration,
     /// Tenants that it alone rejected, each until when it is used last.
--- a/crates/quartzdrift/src/gateway/outputs.rs
+++ b/crates/quartzdrift/src/gateway/outputs.rs
@@ -19,6 +19,7 @@
                 function,
                 payload,
                 wait: _,
+                send_by: _,
             } => self.start_attempt(request, attempt, worker, function, payload),
             Output::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Output::RecallAttempt { request, attempt } => self.recall_attempt(request, attempt),
@@ -44,6 +45,7 @@
             }
             Output::Watch { on } => self.watch(on),
             Output::PollEndpoints => self.poll_endpoints(),
+            Output::Notice(notice) => tracing::info!(?notice, "endpoint list"),
             Output::Log { text } => tracing::info!(text, "scheduler"),
         }
     }
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -2,11 +2,21 @@
 use super::client_connection::{Client, RECEIVE_TIMEOUT, is_silent};
 use super::{Node, Peer};
 use quartzdrift_http::sockets::SocketId;
+use std::time::Duration;
+
+/// How long clients wait to be accepted, after a start, for the coordinator to be heard: it answers within milliseconds, and
+/// until then no request can be sent to a worker.
+const FIRST_ANSWER_WAIT: Duration = Duration::from_millis(250);
 
 impl Node {
     /// Accepts the clients that wait, as far as there is room or a silent client that makes room; the others wait on, since
     /// each may have sent a request.
     pub(super) fn accept(&mut self) {
+        if self.accepts_from().is_some_and(|at| self.now() < at) {
+            let earliest_arrival = self.loop_delay.earliest_arrival();
+            self.unaccepted_since.get_or_insert(earliest_arrival);
+            return;
+        }
         let streams = self.sockets.accept(self.budget.clients, self.clients, is_silent);
         let earliest_arrival = self.loop_delay.earliest_arrival();
         let arrived = self.unaccepted_since.unwrap_or(earliest_arrival);
@@ -21,6 +31,12 @@
         }
     }
 
+    /// From when on clients are accepted though the coordinator was not heard; `None`: it was.
+    pub(super) fn accepts_from(&self) -> Option<Duration> {
+        let is_unheard = !self.coordinator.was_confirmed();
+        is_unheard.then(|| self.started_at + FIRST_ANSWER_WAIT)
+    }
+
     /// Makes room for one more client, where there is none: the client that has been silent longest is closed, unless
     /// something has arrived from it that the loop has not been told of yet.
     fn make_room(&mut self) {
--- a/crates/quartzdrift/src/platform/commands.rs
+++ b/crates/quartzdrift/src/platform/commands.rs
@@ -1,7 +1,7 @@
 //! Attempts as commands on connections: sent, recalled while they have not left, cancelled.
 use super::connections::connection;
 use super::worker_connection::{Command, ConnectionPhase, FrameSpan};
-use super::{Node, Peer, RequestContext};
+use super::{Node, Peer};
 use quartzdrift_http::sockets::{Socket, SocketId, Sockets};
 use quartzdrift_lifecycle::AttemptResult;
 use quartzdrift_platform::attempt_outcome;
@@ -30,36 +30,44 @@
 }
 
 impl Node {
-    /// Sends an attempt to a worker. `wait`: how long its answer is waited for.
-    pub(super) fn start_attempt(
-        &mut self,
-        request: RequestId,
-        attempt: u32,
-        worker: &Rc<str>,
-        function: Rc<str>,
-        wait: Duration,
-        context: Rc<RequestContext>,
-    ) {
-        let now = self.now();
+    /// Sends an attempt to a worker.
+    pub(super) fn start_attempt(&mut self, worker: &Rc<str>, command: Command) {
+        let (request, attempt) = (command.request, command.attempt);
         if !self.request_table.is_open(request) {
             // Its client has left in the same turn, after the request table said so.
-            return self.request_table.attempt_recalled(now, request, attempt);
+            return self.request_table.attempt_recalled(self.now(), request, attempt);
         }
         self.counts.attempts += 1;
-        tracing::trace!(request, attempt, %worker, %function, "attempt sent");
-        let command = Command {
-            request,
-            attempt,
-            function,
-            // The process may have had no processor since the request table decided.
-            until: self.request_table.now() + wait,
-            context,
-            lost_connections: 0,
-            frame_span: None,
-        };
+        tracing::trace!(request, attempt, %worker, function = %command.function, "attempt sent");
         self.send(worker, command);
     }
 
+    /// Recalls the commands of a connection of which nothing has left and that may not be sent any more.
+    pub(super) fn recall_overdue(&mut self, id: SocketId, now: Duration) {
+        let Some(socket) = self.sockets.get(id) else {
+            return;
+        };
+        let Peer::WorkerConnection(connection) = &socket.state else {
+            return;
+        };
+        let sent = socket.sent_position();
+        let is_late = |command: &&Command| command.is_overdue(now) && !command.has_left_in_part(sent);
+        let late = connection.commands.iter().filter(is_late);
+        let late: Vec<_> = late.map(|command| (command.request, command.attempt)).collect();
+        if late.is_empty() {
+            return;
+        }
+        for (request, attempt) in late {
+            tracing::debug!(
+                request,
+                attempt,
+                "attempt recalled: too late to be sent to its worker"
+            );
+            self.recall_attempt(request, attempt);
+        }
+        self.carry_out();
+    }
+
     /// Puts a command on a connection to its worker. Where none is left, the request table is told that the attempt ended;
     /// whoever carries out its outputs goes on from there.
     pub(super) fn send(&mut self, worker: &Rc<str>, mut command: Command) {
--- a/crates/quartzdrift/src/platform/connections.rs
+++ b/crates/quartzdrift/src/platform/connections.rs
@@ -50,6 +50,7 @@
                 ConnectionChoice::Use(at) => {
                     let idle = states[at].open == 0 && states[at].up;
                     if idle && self.is_closed_by_worker(sockets[at]) {
+                        self.request_table.worker_disconnected(self.now(), worker);
                         self.close_connection(sockets[at]);
                         continue;
                     }
@@ -223,6 +224,7 @@
         let known = self.workers.get(&worker);
         let is_current = known.is_some_and(|known| known.connections.contains(&id));
         let may_resend = self.request_table.is_up(&worker) && is_current;
+        self.request_table.worker_disconnected(self.now(), &worker);
         let commands = self.close_connection(id);
         self.counts.connections_lost += u64::from(!commands.is_empty());
         for mut command in commands {
@@ -246,6 +248,7 @@
         command.lost_connections < MAX_LOST_CONNECTIONS
             && self.request_table.is_open(command.request)
             && command.until > self.now()
+            && !command.is_overdue(self.now())
     }
 
     fn end_lost(&mut self, worker: &str, command: &Command, loss: ConnectionLoss) {
@@ -276,6 +279,8 @@
     pub(super) fn connection_established(&mut self, id: SocketId) {
         self.sockets.set_deadline(id, None);
         let now = self.now();
+        // What has waited for it may wait no longer: its worker may have been told to drain for longer than the grace.
+        self.recall_overdue(id, now);
         let Some(established) = connection(&mut self.sockets, id) else {
             return;
         };
--- a/crates/quartzdrift/src/platform/coordinator.rs
+++ b/crates/quartzdrift/src/platform/coordinator.rs
@@ -2,7 +2,7 @@
 use super::Node;
 use quartzdrift_http::{CallId, Failure, Headers, Outgoing, Response};
 use quartzdrift_platform::coordinator::{
-    EndpointChange, EndpointUpdate, EndpointWatch, WatchError, WatchResponse,
+    EndpointChange, EndpointUpdate, EndpointWatch, Reading, WatchError, WatchResponse,
 };
 use quartzdrift_scheduler::interface::{EndpointListKind, EndpointState, RequestId};
 use std::collections::HashSet;
@@ -10,14 +10,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a poll may wait: short, so that a coordinator that is silent is noticed soon.
-const POLL_WAIT: Duration = Duration::from_millis(1000);
-/// How much longer than its wait a poll may take before it counts as lost.
+/// How long a poll may wait. An answer proves what the coordinator had when it was asked, so the list is known to be current
+/// up to two waits ago: that has to be well within the list's lease.
+const POLL_WAIT: Duration = Duration::from_millis(500);
+/// Share of its wait before which an answer without an event comes too soon to be one: the coordinator has not waited for
+/// events, whatever it says.
+const MIN_WAITED_SHARE: f64 = 0.95;
+/// How much longer than its wait a poll may take before it counts as lost; doubled with each further one that is lost, up to
+/// [`MAX_POLL_GRACE`], as a coordinator that is crowded answers late.
 const POLL_GRACE: Duration = Duration::from_millis(400);
+/// Longest such time. A call that a silent coordinator never answers delays the next one by it.
+const MAX_POLL_GRACE: Duration = Duration::from_millis(1600);
 /// Before the next poll after one that failed; doubled with each further failure, up to [`MAX_RETRY_DELAY`].
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest wait before the next poll.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(640);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(320);
 /// Between two polls of a coordinator that answers at once with nothing new.
 const MIN_EMPTY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Between two log lines on a coordinator that stays out of reach.
@@ -31,12 +38,17 @@
 struct Poll {
     call: CallId,
     sent_at: Duration,
+    /// Index of the event that it follows from.
+    asked: u64,
+    /// When it counts as lost.
+    deadline: Duration,
 }
 
 impl Poll {
-    /// When it counts as lost.
-    fn deadline(&self) -> Duration {
-        self.sent_at + POLL_WAIT + POLL_GRACE
+    /// Whether an answer that came now shows that the list is current with its changes.
+    fn is_confirmed_by(&self, reading: &Reading, now: Duration) -> bool {
+        let waited = now.saturating_sub(self.sent_at) >= POLL_WAIT.mul_f64(MIN_WAITED_SHARE);
+        reading.is_current && (waited || !reading.is_empty)
     }
 }
 
@@ -49,10 +61,12 @@
     next_poll_at: Duration,
     /// Polls in a row that failed.
     failures: u32,
+    /// Polls in a row that got no answer in time.
+    timeouts: u32,
     /// Gaps in a row in the events' indexes.
     gaps: u32,
-    /// When a poll was last answered.
-    answered_at: Option<Duration>,
+    /// The list is known to have been current then: when the last poll whose answer showed that was sent.
+    confirmed_at: Option<Duration>,
     /// When the log last said that the coordinator is out of reach.
     outage_logged_at: Duration,
 }
@@ -62,6 +76,8 @@
 enum PollFailure {
     #[error("its answer cannot be used")]
     Refused,
+    #[error("its answer does not show that the list is current")]
+    Unconfirmed,
     #[error("status {0}")]
     Status(u16),
     #[error("no connection, or it ended before the answer did: {0:?}")]
@@ -79,47 +95,83 @@
             poll: None,
             next_poll_at: Duration::ZERO,
             failures: 0,
+            timeouts: 0,
             gaps: 0,
-            answered_at: None,
+            confirmed_at: None,
             outage_logged_at: Duration::ZERO,
         }
     }
 
     /// When the loop must wake for it.
     pub(super) fn next_deadline(&self) -> Duration {
-        self.poll.as_ref().map_or(self.next_poll_at, Poll::deadline)
+        self.poll.as_ref().map_or(self.next_poll_at, |poll| poll.deadline)
     }
 
     fn is_poll(&self, call: CallId) -> bool {
         self.poll.as_ref().is_some_and(|poll| poll.call == call)
     }
 
-    /// An answer was applied; `is_new`: it brought an event.
-    fn answered(&mut self, now: Duration, is_new: bool) {
-        let pause = if is_new {
-            Duration::ZERO
+    /// Index of the last event that was applied.
+    pub(super) fn index(&self) -> u64 {
+        self.watch.last()
+    }
+
+    /// Whether the list was current at some time since the start.
+    pub(super) fn was_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
+    /// The event to follow from. Where the coordinator was not heard by the last poll it is the one before the last: the answer
+    /// comes at once then, and has to bring an event that is known.
+    fn next_asked(&self) -> u64 {
+        if self.failures > 0 || self.confirmed_at.is_none() {
+            self.watch.before_last()
         } else {
+            self.watch.last()
+        }
+    }
+
+    fn poll_grace(&self) -> Duration {
+        POLL_GRACE
+            .saturating_mul(2_u32.saturating_pow(self.timeouts))
+            .min(MAX_POLL_GRACE)
+    }
+
+    /// A poll that was sent at `sent_at` has shown that the list is current; `is_empty`: it brought no event.
+    fn confirmed(&mut self, now: Duration, sent_at: Duration, is_empty: bool) {
+        let pause = if is_empty {
             MIN_EMPTY_POLL_INTERVAL
+        } else {
+            Duration::ZERO
         };
-        let sent_at = self.poll.take().map(|poll| poll.sent_at);
-        self.next_poll_at = sent_at.map_or(now, |at| (at + pause).max(now));
+        self.poll = None;
+        self.next_poll_at = (sent_at + pause).max(now);
         self.failures = 0;
+        self.timeouts = 0;
         self.gaps = 0;
-        self.answered_at = Some(now);
+        self.confirmed_at = Some(sent_at);
     }
 
-    /// Since when no poll was answered.
-    fn silent_for(&self, now: Duration) -> Option<Duration> {
-        self.answered_at.map(|at| now.saturating_sub(at))
+    /// How long ago the list was last known to be current.
+    fn list_age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
     /// A poll failed; returns how many had failed before it in a row.
-    fn failed(&mut self, now: Duration) -> u32 {
+    fn failed(&mut self, now: Duration, why: PollFailure) -> u32 {
         let before = self.failures;
         let delay = RETRY_DELAY.saturating_mul(2_u32.saturating_pow(before));
         self.poll = None;
+        let delay = match why {
+            PollFailure::Unconfirmed => delay.max(MIN_EMPTY_POLL_INTERVAL),
+            _ => delay,
+        };
         self.next_poll_at = now + delay.min(MAX_RETRY_DELAY);
         self.failures += 1;
+        self.timeouts = match why {
+            PollFailure::TimedOut => self.timeouts + 1,
+            _ => 0,
+        };
         before
     }
 
@@ -138,7 +190,7 @@
 impl Node {
     /// Sends a poll where none is out, and gives up one that is overdue.
     pub(super) fn coordinator_due(&mut self, now: Duration) {
-        let overdue = self.coordinator.poll.take_if(|poll| poll.deadline() <= now);
+        let overdue = self.coordinator.poll.take_if(|poll| poll.deadline <= now);
         if let Some(poll) = overdue {
             self.http.cancel(poll.call);
             self.poll_failed(PollFailure::TimedOut);
@@ -149,13 +201,10 @@
     }
 
     fn poll(&mut self) {
+        let asked = self.coordinator.next_asked();
         let request = Outgoing {
             method: "GET",
-            target: format!(
-                "/v2/stream?follow={}&wait_ms={}",
-                self.coordinator.watch.last(),
-                POLL_WAIT.as_millis()
-            ),
+            target: format!("/v2/stream?follow={}&wait_ms={}", asked, POLL_WAIT.as_millis()),
             headers: Headers::new(),
             body: Rc::from([]),
             connect_timeout: POLL_GRACE,
@@ -163,26 +212,35 @@
         };
         let call = self.http.call(self.coordinator.address, request);
         let sent_at = self.now();
-        self.coordinator.poll = Some(Poll { call, sent_at });
+        let deadline = sent_at + POLL_WAIT + self.coordinator.poll_grace();
+        self.coordinator.poll = Some(Poll {
+            call,
+            sent_at,
+            asked,
+            deadline,
+        });
     }
 
     fn poll_failed(&mut self, why: PollFailure) {
         let now = self.now();
-        let failures = self.coordinator.failed(now);
+        let failures = self.coordinator.failed(now, why);
         self.count_poll_failure(why);
+        self.request_table
+            .update_endpoints(now, EndpointListKind::Failed, Vec::new());
+        self.carry_out();
         tracing::debug!(
             %why,
             failures,
             "a poll of the coordinator failed; the list stands"
         );
         let index = self.coordinator.watch.last();
-        let silent_for = self.coordinator.silent_for(now);
+        let age = self.coordinator.list_age(now);
         if failures == 0 {
             self.coordinator.outage_logged_at = now;
             tracing::info!(
                 %why,
                 index,
-                ?silent_for,
+                ?age,
                 "the coordinator cannot be followed; asking again"
             );
         } else if now >= self.coordinator.outage_logged_at + OUTAGE_LOG_INTERVAL {
@@ -191,7 +249,7 @@
             tracing::info!(
                 %why,
                 index,
-                ?silent_for,
+                ?age,
                 failures,
                 ?turned_away,
                 "the coordinator is still out of reach"
@@ -203,6 +261,7 @@
         let polls = &mut self.counts.polls;
         let count = match why {
             PollFailure::Refused => &mut polls.refused,
+            PollFailure::Unconfirmed => &mut polls.unconfirmed,
             PollFailure::Status(_) => &mut polls.wrong_status,
             PollFailure::Disconnected(_) => &mut polls.disconnected,
             PollFailure::TimedOut => &mut polls.timed_out,
@@ -221,18 +280,18 @@
         counts
     }
 
-    /// The coordinator was heard: logs the end of an outage, if there was one.
-    fn poll_succeeded(&mut self, is_new: bool) {
+    /// The list is current as of when a poll was sent: the request table is told, and an outage that there was is over.
+    fn poll_succeeded(&mut self, sent_at: Duration, is_empty: bool) {
         let now = self.now();
         self.counts.polls.answered += 1;
         if self.coordinator.failures > 0 {
             let (index, failures) = (self.coordinator.watch.last(), self.coordinator.failures);
-            let silent_for = self.coordinator.silent_for(now);
+            let age = self.coordinator.list_age(now);
             let turned_away = self.turned_away_by_worker();
             tracing::info!(
                 index,
                 failures,
-                ?silent_for,
+                ?age,
                 ?turned_away,
                 "the coordinator is followed again"
             );
@@ -240,28 +299,33 @@
         self.workers
             .values_mut()
             .for_each(|worker| worker.turned_away = 0);
-        self.coordinator.answered(now, is_new);
+        self.coordinator.confirmed(now, sent_at, is_empty);
+        self.request_table.confirm_endpoints(now, sent_at);
+        self.carry_out();
     }
 
     /// A call over HTTP was answered; all of them are polls.
     pub(super) fn poll_answered(&mut self, call: CallId, answer: &Response) {
-        if !self.coordinator.is_poll(call) {
+        let Some(poll) = self.coordinator.poll.take_if(|poll| poll.call == call) else {
             return;
-        }
+        };
         if answer.status != 200 {
             return self.poll_failed(PollFailure::Status(answer.status));
         }
         let settings = &self.config.settings;
-        let before = self.coordinator.watch.last();
         let read = self
             .coordinator
             .watch
-            .read(&answer.body, &settings.zones, &settings.kinds);
+            .read(&answer.body, poll.asked, &settings.zones, &settings.kinds);
         match read {
-            Ok(changes) => {
-                let is_new = self.coordinator.watch.last() != before;
-                self.poll_succeeded(is_new);
-                self.apply_changes(changes);
+            Ok(reading) => {
+                let is_confirmed = poll.is_confirmed_by(&reading, self.now());
+                self.apply_changes(reading.changes);
+                if is_confirmed {
+                    self.poll_succeeded(poll.sent_at, reading.is_empty);
+                } else {
+                    self.poll_failed(PollFailure::Unconfirmed);
+                }
             }
             Err(error) => {
                 self.coordinator.refused(&error);
@@ -300,7 +364,6 @@
         }
         self.coordinator.address = address;
         self.coordinator.next_poll_at = self.now();
-        self.coordinator.failures = 0;
         self.coordinator.gaps = 0;
     }
 
--- a/crates/quartzdrift/src/platform/counts.rs
+++ b/crates/quartzdrift/src/platform/counts.rs
@@ -1,11 +1,13 @@
 //! Counts of what a scheduler did since its start.
-use quartzdrift_scheduler::interface::RejectReason;
+use quartzdrift_scheduler::interface::{RejectReason, WorkerStanding};
 
 /// Polls of the coordinator, by how they ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PollCounts {
-    /// Answered with events or with nothing new.
+    /// Answered so that the list is known to be current.
     pub answered: u64,
+    /// Answered with what can be read and does not show that: too soon, or without events that there are.
+    pub unconfirmed: u64,
     /// Answered with what cannot be used: unreadable, with a gap, or older than what was applied.
     pub refused: u64,
     /// Answered with a status other than 200.
@@ -16,6 +18,33 @@
     pub timed_out: u64,
 }
 
+/// What the scheduler noticed while the endpoint list was out of date.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeCounts {
+    /// Times that the list went out of date.
+    pub lease_lapses: u64,
+    /// Times that no worker was left that could be used.
+    pub times_without_worker: u64,
+    /// Workers that were suspected of draining, each time.
+    pub suspected: u64,
+    /// Workers that proved themselves, each time.
+    pub proven: u64,
+    /// Workers whose proof ran out, each time.
+    pub unproven: u64,
+}
+
+impl NoticeCounts {
+    /// Counts a worker that has this standing from now on.
+    pub fn count_standing(&mut self, standing: WorkerStanding) {
+        match standing {
+            WorkerStanding::Listed => {}
+            WorkerStanding::Proven => self.proven += 1,
+            WorkerStanding::Suspected => self.suspected += 1,
+            WorkerStanding::Unproven => self.unproven += 1,
+        }
+    }
+}
+
 /// Rejected requests, by reason.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RejectionCounts {
@@ -29,6 +58,8 @@
     pub fleet_at_capacity: u64,
     /// [`RejectReason::NoAttemptsLeft`].
     pub no_attempts_left: u64,
+    /// [`RejectReason::NoProvenWorker`].
+    pub no_proven_worker: u64,
     /// [`RejectReason::NoTimeLeft`].
     pub no_time_left: u64,
     /// [`RejectReason::NotRepeatable`].
@@ -46,6 +77,7 @@
             RejectReason::NoCapacity => &mut self.no_capacity,
             RejectReason::FleetAtCapacity => &mut self.fleet_at_capacity,
             RejectReason::NoAttemptsLeft => &mut self.no_attempts_left,
+            RejectReason::NoProvenWorker => &mut self.no_proven_worker,
             RejectReason::NoTimeLeft => &mut self.no_time_left,
             RejectReason::NotRepeatable => &mut self.not_repeatable,
             RejectReason::ShuttingDown => &mut self.shutting_down,
@@ -83,6 +115,8 @@
     pub turned_away: u64,
     /// Polls of the coordinator.
     pub polls: PollCounts,
+    /// What was noticed while the endpoint list was out of date.
+    pub notices: NoticeCounts,
     /// Connections to workers that were opened.
     pub connections: u64,
     /// Connections to workers that were lost with something open on them.
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -17,6 +17,7 @@
 mod coordinator;
 mod counts;
 mod node;
+mod notices;
 mod requests;
 mod responses;
 pub mod run;
@@ -24,6 +25,6 @@
 mod worker_connection;
 mod workers;
 
-pub use counts::{Counts, PollCounts, RejectionCounts};
+pub use counts::{Counts, NoticeCounts, PollCounts, RejectionCounts};
 use node::Peer;
 pub use node::{Node, RequestContext};
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -2,8 +2,9 @@
 use super::client_connection::Client;
 use super::coordinator::Coordinator;
 use super::counts::Counts;
+use super::notices::NoticeLimit;
 use super::shutdown::{Shutdown, Step};
-use super::worker_connection::WorkerConnection;
+use super::worker_connection::{Command, WorkerConnection};
 use super::workers::Worker;
 use super::{commands, run};
 use crate::attempts::{AttemptCarriers, CarryOut};
@@ -79,6 +80,8 @@
     /// The answer's body of the attempt that is being ended, and its request.
     pub(super) pending_response: Option<(RequestId, Vec<u8>)>,
     pub(super) coordinator: Coordinator,
+    pub(super) started_at: Duration,
+    pub(super) notices: NoticeLimit,
     pub(super) shutdown: Option<Shutdown>,
     /// When what the tables hold was last logged.
     held_logged_at: Duration,
@@ -105,8 +108,22 @@
                 worker,
                 function,
                 wait,
+                send_by,
                 payload,
-            } => self.start_attempt(request, attempt, &worker, function, wait, payload),
+            } => {
+                let command = Command {
+                    request,
+                    attempt,
+                    function,
+                    // The process may have had no processor since the request table decided.
+                    until: self.request_table.now() + wait,
+                    context: payload,
+                    send_by,
+                    lost_connections: 0,
+                    frame_span: None,
+                };
+                self.start_attempt(&worker, command);
+            }
             Output::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Output::RecallAttempt { request, attempt } => self.recall_attempt(request, attempt),
             Output::Respond {
@@ -115,6 +132,7 @@
                 answer,
             } => self.final_answer(request, &payload, answer),
             Output::CloseIdle { worker } => self.close_idle(&worker),
+            Output::Notice(notice) => self.log_notice(notice),
             Output::Log { text } => tracing::info!(text, "decision"),
             // The platform's list comes without being asked for, and its settings allow neither load commands nor health
             // checks.
@@ -157,11 +175,14 @@
             open: HashMap::new(),
             pending_response: None,
             coordinator: Coordinator::new(config.coordinator),
+            started_at: Duration::ZERO,
+            notices: NoticeLimit::default(),
             shutdown: None,
             held_logged_at: Duration::ZERO,
             counts: Counts::default(),
             config,
         };
+        node.started_at = node.now();
         let known = node.config.known.clone();
         node.request_table
             .update_endpoints(node.now(), EndpointListKind::Snapshot, Vec::new());
@@ -200,6 +221,7 @@
         let own = [
             self.request_table.next_deadline(),
             Some(self.coordinator.next_deadline()),
+            self.accepts_from().filter(|at| *at > self.now()),
             shutdown,
         ];
         self.clock
@@ -236,6 +258,7 @@
     /// Sends what was written on a socket, unless the loop has not looked at its sockets for long; returns whether it was in
     /// time. What was not sent is sent with the next [`Node::flush`].
     pub(super) fn flush_in_time(&mut self, id: SocketId) -> bool {
+        self.recall_overdue(id, self.now());
         let limit = self.loop_delay.looked() + MAX_UNSEEN_TIME;
         self.sockets.flush_one_by(id, Some(limit))
     }
--- a/crates/quartzdrift/src/platform/requests.rs
+++ b/crates/quartzdrift/src/platform/requests.rs
@@ -10,6 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// A scheduler that has not heard the coordinator since its start says for so long that it is not ready: it can send to no worker
+/// yet, and clients are served better by others. After that it says that it is, as a longer start would count as a failed one.
+const MAX_UNREADY_START: Duration = Duration::from_secs(5);
 /// Told to clients for whom there is no room at all.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -63,7 +66,8 @@
     }
 
     fn respond_to_check(&mut self, client: SocketId, request_id: u16) {
-        let is_ready = self.shutdown.is_none() && self.request_table.workers_up() > 0;
+        let has_list = self.coordinator.was_confirmed() || self.now() >= self.started_at + MAX_UNREADY_START;
+        let is_ready = self.shutdown.is_none() && self.request_table.workers_up() > 0 && has_list;
         let (status, text) = if is_ready {
             (200, "ready")
         } else {
--- a/crates/quartzdrift/src/platform/worker_connection.rs
+++ b/crates/quartzdrift/src/platform/worker_connection.rs
@@ -29,6 +29,8 @@
     /// When its answer is no longer waited for.
     pub(super) until: Duration,
     pub(super) context: Rc<RequestContext>,
+    /// The last time at which its first byte may leave; `None`: any time.
+    pub(super) send_by: Option<Duration>,
     /// Connections that were lost under it.
     pub(super) lost_connections: u32,
     /// Where its frame lies in all that the connection sends; `None` while the connection is not up.
@@ -36,6 +38,11 @@
 }
 
 impl Command {
+    /// Whether it is too late for its first byte to leave.
+    pub(super) fn is_overdue(&self, now: Duration) -> bool {
+        self.send_by.is_some_and(|send_by| now >= send_by)
+    }
+
     /// Whether its whole frame is among the first `sent` bytes of the connection.
     pub(super) fn has_left_whole(&self, sent: u64) -> bool {
         self.frame_span.is_some_and(|span| span.to <= sent)
--- a/crates/quartzdrift/src/settings/raw/scheduler.rs
+++ b/crates/quartzdrift/src/settings/raw/scheduler.rs
@@ -110,6 +110,7 @@
     pub(crate) cold_from: Option<f64>,
     pub(crate) cold_for: Option<HumanDuration>,
     pub(crate) drain_grace: HumanDuration,
+    pub(crate) endpoint_lease: Option<HumanDuration>,
     pub(crate) fall_multiple: Option<f64>,
     pub(crate) fall_window: Option<HumanDuration>,
 }
@@ -122,6 +123,7 @@
             cold_from: None,
             cold_for: None,
             drain_grace: HumanDuration(Duration::from_millis(250)),
+            endpoint_lease: None,
             fall_multiple: None,
             fall_window: None,
         }
--- a/crates/quartzdrift/src/settings/raw/scheduler_settings.rs
+++ b/crates/quartzdrift/src/settings/raw/scheduler_settings.rs
@@ -118,6 +118,7 @@
             cold_from: rules.cold_from,
             cold_for: duration(rules.cold_for),
             drain_grace: Some(rules.drain_grace.0),
+            endpoint_lease: duration(rules.endpoint_lease),
             fall_multiple: rules.fall_multiple,
             fall_window: duration(rules.fall_window),
         }
