Scenarios of the endpoint list's lease; a list not heard of lately is asked for at once

After a pause of the process the last known event is asked for again, which is answered at once, in place of waiting for the next one; such a call does not wait, so it counts as lost sooner.

--- a/crates/quartzdrift-scheduler/tests/scenario_runner/runner.rs
+++ b/crates/quartzdrift-scheduler/tests/scenario_runner/runner.rs
@@ -42,6 +42,11 @@
             "set" if words.len() > 1 => self.set(words),
             "at" => words.duration(1).map(|now| self.now = now),
             "list" => self.list(words),
+            "confirmed" => {
+                let as_of = if words.len() > 1 { words.duration(1)? } else { self.now };
+                self.event(Event::EndpointsConfirmed { as_of })
+            }
+            "disconnected" => self.event(Event::WorkerDisconnected { worker: words.get(1).unwrap_or("") }),
             "replace" => self.replace(words),
             "job" => self.request(words.number(1)?, words.get(2).unwrap_or("f"), words),
             "jobs" => self.requests(words),
--- a/crates/quartzdrift-scheduler/tests/scenario_runner/settings.rs
+++ b/crates/quartzdrift-scheduler/tests/scenario_runner/settings.rs
@@ -43,6 +43,10 @@
             "memory" => settings.copies.memory_mb_by_kind = vec![words.number(2)?],
             "orders" => set_load_commands(settings, words)?,
             "fall" => set_slow_start(&mut settings.rules, words)?,
+            "lease" => {
+                settings.rules.endpoint_lease = Some(words.duration(2)?);
+                settings.rules.drain_grace = Some(words.duration(3)?);
+            }
             "ask-within" => settings.rules.ask_within = Some(words.duration(2)?),
             "report" if value == "memory" => settings.report_fields = vec![ReportField::MemoryTaken],
             "report" if value == "held" => settings.report_fields = vec![ReportField::Held],
--- a/crates/quartzdrift-scheduler/tests/scenarios.rs
+++ b/crates/quartzdrift-scheduler/tests/scenarios.rs
@@ -4,6 +4,8 @@
 //!                                customers, keep, fall (`-`: untold), told, cancel, report held, discovery
 //!                                ask, target (start target), ask-within, retry-after (push-backs must then
 //!                                name a time within it)
+//!     set lease 2s 500ms         how long the list holds once discovery is silent, and the drain grace
+//!     confirmed 90ms             the list was current then, or now; `disconnected a`: a ended a connection
 //!     at 100ms                   time of what follows
 //!     list full a b:draining c^2s d@1*2  form, then workers: state, start, zone, kind of machine
 //!     set memory 1000            of a worker, in MB
--- a/crates/quartzdrift/src/platform/coordinator.rs
+++ b/crates/quartzdrift/src/platform/coordinator.rs
@@ -21,6 +21,8 @@
 const POLL_GRACE: Duration = Duration::from_millis(400);
 /// Longest such time. A call that a silent coordinator never answers delays the next one by it.
 const MAX_POLL_GRACE: Duration = Duration::from_millis(1600);
+/// Age of the list from which on the coordinator was not heard lately: each of two polls has taken as long as it may.
+const MAX_HEARD_AGE: Duration = POLL_WAIT.saturating_add(POLL_GRACE).saturating_mul(2);
 /// Before the next poll after one that failed; doubled with each further failure, up to [`MAX_RETRY_DELAY`].
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest wait before the next poll.
@@ -121,10 +123,11 @@
         self.confirmed_at.is_some()
     }
 
-    /// The event to follow from. Where the coordinator was not heard by the last poll it is the one before the last: the answer
-    /// comes at once then, and has to bring an event that is known.
-    fn next_asked(&self) -> u64 {
-        if self.failures > 0 || self.confirmed_at.is_none() {
+    /// The event to follow from. Where the coordinator was not heard lately it is the one before the last: the answer comes at
+    /// once then, and has to bring an event that is known.
+    fn next_asked(&self, now: Duration) -> u64 {
+        let is_heard = self.list_age(now).is_some_and(|age| age <= MAX_HEARD_AGE);
+        if self.failures > 0 || !is_heard {
             self.watch.before_last()
         } else {
             self.watch.last()
@@ -201,7 +204,7 @@
     }
 
     fn poll(&mut self) {
-        let asked = self.coordinator.next_asked();
+        let asked = self.coordinator.next_asked(self.now());
         let request = Outgoing {
             method: "GET",
             target: format!("/v2/stream?follow={}&wait_ms={}", asked, POLL_WAIT.as_millis()),
@@ -212,7 +215,9 @@
         };
         let call = self.http.call(self.coordinator.address, request);
         let sent_at = self.now();
-        let deadline = sent_at + POLL_WAIT + self.coordinator.poll_grace();
+        let asks_again = asked < self.coordinator.watch.last();
+        let wait = if asks_again { Duration::ZERO } else { POLL_WAIT };
+        let deadline = sent_at + wait + self.coordinator.poll_grace();
         self.coordinator.poll = Some(Poll {
             call,
             sent_at,
