--- a/crates/quartzdrift-lab/tests/crossings.rs
+++ b/crates/quartzdrift-lab/tests/crossings.rs
@@ -611,6 +611,40 @@
     }
 }
 
+// --- Pauses ---
+
+/// The process is quiet: no traffic ends its waits early, so that only their longest length bounds what may have waited unseen.
+#[test]
+fn after_a_pause_of_a_quiet_process_a_worker_is_told_what_the_client_has_left() {
+    /// What a worker is told may exceed what the client has left by so much.
+    const SLACK: Duration = Duration::from_millis(150);
+    const TIMEOUT: Duration = Duration::from_millis(5_000);
+    let mut stage = Stage::start(LAB, 1);
+    let mut frontend = stage.frontend();
+    assert_eq!(check(&mut frontend), 200);
+    for n in 1..=6 {
+        // The pauses begin at different times within the waits for the coordinator.
+        std::thread::sleep(Duration::from_millis(130 * n));
+        stage.pause();
+        let id = format!("{n:016x}");
+        let request = Asked {
+            time: "5000",
+            ..asked("/do/once", &id)
+        };
+        ask(&mut frontend, 1, &request);
+        let written = Instant::now();
+        std::thread::sleep(Duration::from_millis(700));
+        stage.go_on();
+        let (connection, _, id, fields, _) = stage.workers[0].command();
+        let left = TIMEOUT.saturating_sub(written.elapsed());
+        let told = fields.split(',').find_map(|field| field.strip_prefix("max="));
+        let told = Duration::from_millis(told.unwrap().parse().unwrap());
+        assert!(told <= left + SLACK, "told {told:?} with {left:?} left");
+        stage.workers[0].answer(connection, DONE, id, b"");
+        assert_eq!(frontend.reply().unwrap().status, 200);
+    }
+}
+
 // --- Stop ---
 
 /// Sends SIGTERM, and returns once the scheduler has taken it.
--- a/crates/quartzdrift-lab/tests/gateway.rs
+++ b/crates/quartzdrift-lab/tests/gateway.rs
@@ -683,6 +683,54 @@
     assert_eq!(again.invoke("echo", r#"{"key": "saved"}"#).status, 200);
 }
 
+#[test]
+fn a_list_that_cannot_be_confirmed_holds_for_its_lease_and_without_one_for_good() {
+    for lease in [Some(Duration::from_secs(1)), None] {
+        let stage = Stage::new(2);
+        let first = stage
+            .workers
+            .iter()
+            .map(|worker| DiscoveredEndpoint::up(&worker.address.to_string()))
+            .collect();
+        let discovery = spawn(any(), move |handle, _| {
+            Discovery::new(handle, first, Duration::ZERO, None)
+        })
+        .unwrap();
+        let rules = lease.map_or(String::new(), |lease| {
+            format!("[rules]\nendpoint_lease = \"{}s\"\n", lease.as_secs())
+        });
+        let of = format!(
+            "{rules}[roster]\nurl = \"http://{}/workers/1\"\nevery = \"100ms\"\ntimeout = \"200ms\"\n",
+            discovery.address
+        );
+        let gateway = stage.gateway_with("", &of);
+        stage.wait("the list", |_| {
+            (gateway.invoke("echo", "{}").status == 200).then_some(())
+        });
+        drop(discovery);
+        let out_since = Instant::now();
+        let mut rejected_after = None;
+        while out_since.elapsed() < Duration::from_secs(3) && rejected_after.is_none() {
+            // Longer than the drain grace of 250 ms, so that no request keeps a worker proven.
+            std::thread::sleep(300 * MS);
+            let asked_after = out_since.elapsed();
+            match gateway.invoke("echo", "{}").status {
+                200 => {}
+                429 => rejected_after = Some(asked_after),
+                status => panic!("status {status}"),
+            }
+        }
+        match lease {
+            // The last poll that was answered was sent up to its interval before the source went.
+            Some(lease) => assert!(
+                rejected_after.is_some_and(|after| after > lease),
+                "{rejected_after:?}"
+            ),
+            None => assert_eq!(rejected_after, None),
+        }
+    }
+}
+
 #[test]
 fn a_short_bad_day_keeps_the_rules_and_a_naive_gateway_breaks_them() {
     let day = "gateways 2\nworkers 4 cores=2 memory=1600 cold=0.3 cold-for=1s fall=4 fall-window=1s\nroster lag=100ms\n\
--- a/crates/quartzdrift-scheduler/tests/scenario_runner/expectations.rs
+++ b/crates/quartzdrift-scheduler/tests/scenario_runner/expectations.rs
@@ -33,6 +33,10 @@
                 let is_within = self.pairs.len() <= words.number(1)?;
                 check(is_within, || format!("{} pairs: {:?}", self.pairs.len(), self.pairs))
             }
+            "loads-least" => {
+                let is_reached = self.pairs.len() >= words.number(1)?;
+                check(is_reached, || format!("{} pairs: {:?}", self.pairs.len(), self.pairs))
+            }
             "sent-most" => {
                 let (worker, sent) = self.sent(words);
                 check(sent <= words.number(2)?, || format!("{worker} was sent {sent}"))
--- a/crates/quartzdrift-scheduler/tests/scenarios.rs
+++ b/crates/quartzdrift-scheduler/tests/scenarios.rs
@@ -23,7 +23,7 @@
 //!     replace 10000 30 every=1s  a list of 30 workers, of which one is replaced every second, 10000 times
 //!     places-most workers 630    kept, of workers, functions or jobs; also places-least
 //!     pushed-back 7, killed 7, cancelled 7, watched, quiet, sent-most a 5, sent-least a 5,
-//!     loads-most 4               pairs of a function and a worker that was sent it, since `recount`
+//!     loads-most 4               pairs of a function and a worker that was sent it, since `recount`; also loads-least
 //!     schedulers 40              so many from now on
 //!     restart knowing            a new start that is told what the old one had measured; `restart`: it is not; what
 //!                                was sent counts anew
--- a/crates/quartzdrift-wal/tests/crashes.rs
+++ b/crates/quartzdrift-wal/tests/crashes.rs
@@ -381,6 +381,37 @@
     }
 }
 
+/// A system that has failed to sync a file may take what is written to it again for synced: the failed write's pages are no
+/// longer dirty. The batch must go to a file that no sync has failed on.
+#[test]
+fn what_is_committed_after_a_failed_sync_goes_to_another_segment() {
+    let disk = SharedDisk::default();
+    let (mut log, _) = open(&disk).unwrap();
+    log.commit(vec![accepted(1)]).unwrap();
+    let before: BTreeMap<String, usize> = lengths(&disk);
+    // The next operations are the write of a batch and its sync; the sync fails.
+    let sync = disk.0.borrow().operations + 2;
+    disk.0.borrow_mut().fails = Some((sync, sync + 1));
+    assert!(log.commit(vec![accepted(2)]).is_err());
+    log.resume().unwrap();
+    log.commit(vec![accepted(2)]).unwrap();
+    let after = lengths(&disk);
+    assert_eq!(after.len(), before.len() + 1, "a new segment was begun");
+    for (name, length) in before {
+        assert_eq!(
+            after[&name], length,
+            "{name} is as long as before the failed batch"
+        );
+    }
+}
+
+/// The files of a disk with their lengths.
+fn lengths(disk: &SharedDisk) -> BTreeMap<String, usize> {
+    let names = disk.list().unwrap();
+    let length = |name: &String| disk.read(name).unwrap().len();
+    names.iter().map(|name| (name.clone(), length(name))).collect()
+}
+
 #[test]
 fn a_crash_while_a_log_resumes_loses_no_acknowledged_batch() {
     for from in (5..100).step_by(3) {
--- a/crates/quartzdrift/src/gateway/discovery.rs
+++ b/crates/quartzdrift/src/gateway/discovery.rs
@@ -15,9 +15,18 @@
 /// A poll without an answer yet.
 struct PendingPoll {
     call: CallId,
+    sent_at: Duration,
     deadline: Duration,
 }
 
+/// Whether a full list was accepted as it is.
+#[derive(Clone, Copy)]
+enum Acceptance {
+    Accepted,
+    /// Workers that it lacks stay for now.
+    Doubted,
+}
+
 /// How the endpoint list is followed. Times are since 1970.
 pub(super) struct Source {
     /// Whether the scheduler wants changes; there are polls and a stream only then.
@@ -98,9 +107,14 @@
             return self.use_configured_workers();
         };
         if self.discovery.pending_poll.is_none() {
-            let deadline = self.now() + timeout;
+            let sent_at = self.now();
+            let deadline = sent_at + timeout;
             let call = self.call_source("application/json", false, CallPurpose::EndpointList);
-            self.discovery.pending_poll = call.map(|call| PendingPoll { call, deadline });
+            self.discovery.pending_poll = call.map(|call| PendingPoll {
+                call,
+                sent_at,
+                deadline,
+            });
         }
     }
 
@@ -132,16 +146,27 @@
 
     /// Takes the answer to a poll.
     pub(super) fn poll_answered(&mut self, status: u16, body: &[u8]) {
-        self.discovery.pending_poll = None;
+        let sent_at = self.discovery.pending_poll.take().map(|poll| poll.sent_at);
         if status != 200 {
             return self.poll_failed(&format!("status {status}"));
         }
         match self.receive_full_list(body) {
-            Ok(()) => self.schedule_poll(),
+            Ok(acceptance) => {
+                self.confirm_endpoints(acceptance, sent_at);
+                self.schedule_poll();
+            }
             Err(error) => self.poll_failed(&error.to_string()),
         }
     }
 
+    /// The list is current as of when it was asked for, unless it is doubted.
+    fn confirm_endpoints(&mut self, acceptance: Acceptance, sent_at: Option<Duration>) {
+        if let (Acceptance::Accepted, Some(sent_at)) = (acceptance, sent_at) {
+            self.request_table.confirm_endpoints(self.now(), sent_at);
+            self.carry_out();
+        }
+    }
+
     /// The accepted endpoints stay; the scheduler hears of the failure only if it polls itself.
     pub(super) fn poll_failed(&mut self, reason: &str) {
         self.discovery.pending_poll = None;
@@ -237,7 +262,7 @@
             .map(|interval| self.now() + interval);
     }
 
-    fn receive_full_list(&mut self, body: &[u8]) -> Result<(), ListError> {
+    fn receive_full_list(&mut self, body: &[u8]) -> Result<Acceptance, ListError> {
         let list = list::read(body, &self.settings.known)?;
         for error in &list.rejected {
             tracing::warn!(
@@ -249,27 +274,29 @@
         let complete = list.rejected.is_empty();
         let unchanged = list.workers == self.discovery.last_full;
         if complete && unchanged && !list.workers.is_empty() {
-            return Ok(());
+            return Ok(Acceptance::Accepted);
         }
-        match self.accepted.accept_full(list) {
+        let acceptance = match self.accepted.accept_full(list) {
             ListDecision::Full(workers) => {
                 tracing::info!(workers = workers.len(), "list of workers");
                 self.update_endpoints(EndpointListKind::Full, &workers);
                 self.discovery.last_full = workers;
+                Acceptance::Accepted
             }
             ListDecision::NamedOnly { workers, reason } => {
                 tracing::warn!(why = reason.to_string(), "a list of workers is doubted");
                 self.update_endpoints(EndpointListKind::Changes, &workers);
                 self.discovery.last_full.clear();
+                Acceptance::Doubted
             }
-        }
+        };
         self.save_endpoints();
-        Ok(())
+        Ok(acceptance)
     }
 
     fn endpoint_event(&mut self, event: &ServerSentEvent) {
         let received = match event.name.as_str() {
-            "full" => self.receive_full_list(event.data.as_bytes()),
+            "full" => self.receive_full_list(event.data.as_bytes()).map(drop),
             "changes" => self.receive_changes(event.data.as_bytes()),
             _ => Ok(()),
         };
--- a/crates/quartzdrift/src/gateway/outputs.rs
+++ b/crates/quartzdrift/src/gateway/outputs.rs
@@ -19,8 +19,8 @@
                 function,
                 payload,
                 wait: _,
-                send_by: _,
-            } => self.start_attempt(request, attempt, worker, function, payload),
+                send_by,
+            } => self.start_attempt(request, attempt, worker, function, payload, send_by),
             Output::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Output::RecallAttempt { request, attempt } => self.recall_attempt(request, attempt),
             Output::Respond {
--- a/crates/quartzdrift/src/gateway/workers.rs
+++ b/crates/quartzdrift/src/gateway/workers.rs
@@ -8,6 +8,7 @@
 use quartzdrift_lifecycle::AttemptResult;
 use quartzdrift_scheduler::interface::{Outcome, RequestId};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Outcome of what could not be sent because the worker's name is not an address. Endpoint lists are parsed by the same
 /// function, so no worker on one of them has such a name.
@@ -21,7 +22,12 @@
         worker: Rc<str>,
         function: Rc<str>,
         context: Rc<RequestContext>,
+        send_by: Option<Duration>,
     ) {
+        let now = self.now();
+        if send_by.is_some_and(|send_by| now >= send_by) {
+            return self.request_table.attempt_recalled(now, request, attempt);
+        }
         self.counts.attempts += 1;
         let Ok(address) = list::address(&worker) else {
             let result = AttemptResult::silent(NOT_AN_ADDRESS);
@@ -32,6 +38,10 @@
         let headers = attempt_headers(attempt, &context);
         let payload = context.payload.clone();
         let mut outgoing = self.worker_request("POST", request::target(&function), headers, payload);
+        if let Some(send_by) = send_by {
+            // A connection that comes up later would carry the attempt too late.
+            outgoing.connect_timeout = outgoing.connect_timeout.min(send_by - now);
+        }
         outgoing.streams = context.streaming_client().is_some();
         let call = self.http.call(address, outgoing);
         tracing::trace!(request, attempt, %worker, %function, "attempt sent");
--- a/crates/quartzdrift/src/loop_delay/tests.rs
+++ b/crates/quartzdrift/src/loop_delay/tests.rs
@@ -55,3 +55,19 @@
     delay.woke(end, Wait::begin(end, Duration::ZERO));
     assert_eq!(delay.earliest_arrival(), start);
 }
+
+#[test]
+fn what_two_of_the_longest_waits_hide_is_within_the_slack_for_deadlines() {
+    /// The platform's protocol allows a deadline that is passed on to exceed the client's by so much.
+    const SLACK: Duration = Duration::from_millis(150);
+    let begun = Instant::now();
+    let longest = Wait::begin(begun, Duration::from_secs(60)).planned;
+    assert!(longest * 2 < SLACK, "{longest:?}");
+    let mut delay = LoopDelay::start(begun);
+    for n in 1..=2 {
+        let wait = Wait::begin(begun + longest * (n - 1), Duration::from_secs(60));
+        delay.woke(begun + longest * n, wait);
+    }
+    // What came right behind the first look is read at the second one, and counts as no later than that.
+    assert!(begun + longest * 2 - delay.earliest_arrival() <= longest);
+}
--- a/crates/quartzdrift/src/settings/check/workers.rs
+++ b/crates/quartzdrift/src/settings/check/workers.rs
@@ -65,6 +65,15 @@
             "write 50ms or more",
         );
     }
+    let lease = raw.rules.endpoint_lease.map(|lease| lease.0);
+    if lease.is_some_and(|lease| lease <= section.every.0 * 2 + section.timeout.0) {
+        errors.add_at_key(
+            "rules",
+            "endpoint_lease",
+            "the list would run out between two polls of it",
+            "write more than twice [roster] every and its timeout, or leave it out",
+        );
+    }
     if section.timeout.0.is_zero() {
         errors.add_at_key("roster", "timeout", "timeout is zero", "write \"2s\" or so");
     }
--- a/crates/quartzdrift/src/settings/raw/scheduler_settings.rs
+++ b/crates/quartzdrift/src/settings/raw/scheduler_settings.rs
@@ -30,7 +30,11 @@
             request_classes: spanned(&self.request_classes),
             tenants: spanned(&self.tenants),
             allowed: (&self.allowed).into(),
-            rules: (&self.rules).into(),
+            rules: scheduler::Rules {
+                // Workers that the file names are what it says; a lease is for a list that somebody else keeps.
+                endpoint_lease: duration(self.rules.endpoint_lease.filter(|_| self.discovery.is_some())),
+                ..(&self.rules).into()
+            },
             copies: (&self.copies).into(),
             report_source: self.reports.source.into(),
             report_fields: self
@@ -118,7 +122,7 @@
             cold_from: rules.cold_from,
             cold_for: duration(rules.cold_for),
             drain_grace: Some(rules.drain_grace.0),
-            endpoint_lease: duration(rules.endpoint_lease),
+            endpoint_lease: None,
             fall_multiple: rules.fall_multiple,
             fall_window: duration(rules.fall_window),
         }
