--- a/crates/quartzdrift-scheduler/src/messages.rs
+++ b/crates/quartzdrift-scheduler/src/messages.rs
@@ -105,10 +105,6 @@
     pub(crate) is_warming_up: bool,
     /// Its slow-start budget has no room for the request.
     pub(crate) slow_start_spent: bool,
-    /// The last time at which something may be sent to it; `None`: any time.
-    pub(crate) usable_until: Option<Duration>,
-    /// When it was last sent what may prove that it takes work, if the endpoint list is doubted and a renewal is due.
-    pub(crate) renewal: Option<Renewal>,
 }
 
 /// A worker whose proof has to be renewed soon, or that has none.
--- a/crates/quartzdrift-scheduler/src/scheduler/candidate.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/candidate.rs
@@ -34,8 +34,6 @@
             is_suspected: self.is_suspected(context),
             is_warming_up: self.warming_since.is_some(),
             slow_start_spent,
-            usable_until: self.usable_until(context),
-            renewal: self.due_renewal(context),
         })
     }
 }
--- a/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
@@ -14,11 +14,11 @@
         self.now = self.now.max(now);
         self.sweep_if_due();
         self.dispatch(event);
+        let lease = self.lease_view();
         while let Some((recipient, message)) = self.mailbox.next() {
             match recipient {
                 Recipient::RequestTable => self.receive(message),
                 Recipient::Worker(index) => {
-                    let lease = self.lease_view();
                     let context = Context { now: self.now, settings: &self.settings, lease };
                     self.workers[index].receive(message, context, &mut self.mailbox);
                 }
--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_lease.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_lease.rs
@@ -44,6 +44,23 @@
         }
     }
 
+    /// The candidate whose proof is renewed by this request: of those that are taken to have the function cached, and
+    /// so answer soon, the one that was sent nothing for longest. Without it all requests would go to the few workers
+    /// that rank first, and no other could be used once the list's word ends, nor ever after.
+    pub(super) fn renewed_candidate(&self, candidates: &[Candidate]) -> Option<Candidate> {
+        let lease = self.lease_view();
+        if !lease.is_doubted {
+            return None;
+        }
+        let context = Context { now: self.now, settings: &self.settings, lease };
+        let cached = candidates.iter().filter(|candidate| candidate.cache_status != CacheStatus::NotWarm);
+        let due = cached.filter_map(|candidate| {
+            let renewal = self.workers[candidate.worker].due_renewal(context)?;
+            Some((renewal, candidate))
+        });
+        due.min_by_key(|(renewal, _)| *renewal).map(|(_, candidate)| *candidate)
+    }
+
     /// How many workers are preferred for a function at least. While the list is doubted, there are several whose
     /// proofs its requests renew, the same ones for all schedulers, so that the fleet makes few copies for it.
     pub(super) fn min_preferred(&self) -> usize {
@@ -84,22 +101,9 @@
     }
 }
 
-/// The candidate whose proof is renewed by this request: of those that are taken to have the function cached, and so
-/// answer soon, the one that was sent nothing for longest. Without it all requests would go to the few workers that rank first,
-/// and no other could be used once the list's word ends, nor ever after.
-pub(super) fn renewed_candidate(candidates: &[Candidate]) -> Option<&Candidate> {
-    let is_due = |candidate: &&Candidate| {
-        candidate.cache_status != CacheStatus::NotWarm && candidate.renewal.is_some()
-    };
-    candidates.iter().filter(is_due).min_by_key(|candidate| candidate.renewal)
-}
-
 impl Worker {
     /// A renewal of the worker's proof, if one is due.
-    pub(super) fn due_renewal(&self, context: Context) -> Option<Renewal> {
-        if !context.lease.is_doubted {
-            return None;
-        }
+    fn due_renewal(&self, context: Context) -> Option<Renewal> {
         let proven = self.proof(context).map(|proof| proof.last);
         let in_flight = self.attempts.iter().map(|attempt| attempt.sent_at).max();
         let last_sent = proven.max(in_flight);
@@ -118,7 +122,9 @@
 
     /// Whether something new may be sent to the worker now, as far as the list's age tells.
     pub(super) fn may_be_sent(&self, context: Context) -> bool {
-        self.usable_until(context).is_none_or(|until| context.now < until)
+        // While the list's word holds, the worker's own proofs need not be looked at.
+        let holds = context.lease.holds_until.is_none_or(|until| context.now < until);
+        holds || self.usable_until(context).is_none_or(|until| context.now < until)
     }
 
     /// What the worker has proven since the list was last known to be current.
@@ -129,7 +135,7 @@
     /// It has turned an attempt away while the list could not be confirmed, and nothing has settled that since: a
     /// worker that drains answers at once, looks idle, and would draw more than its share.
     pub(super) fn is_suspected(&self, context: Context) -> bool {
-        self.suspected_at.is_some_and(|at| Some(at) > context.lease.confirmed_at)
+        context.lease.is_doubted && self.suspected_at.is_some_and(|at| Some(at) > context.lease.confirmed_at)
     }
 
     /// It took a command that was sent at `sent_at`, so it did not drain then.
--- a/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/ranking.rs
@@ -1,7 +1,6 @@
 //! Choice of a worker among the candidates: the ordinary path, and its exceptions (docs/design.md).
 use super::constants::MIN_LOCAL_REQUESTS;
 use super::constants::{BOUND_RATIO, BUSY_FLEET, FLEET_BOUND, MAX_EJECTED_SHARE, MIN_BOUND};
-use super::endpoint_lease::renewed_candidate;
 use crate::interface::{RejectReason, RequestId};
 use crate::messages::{CacheStatus, Candidate, PlacementQuery};
 use crate::names::hash;
@@ -62,7 +61,7 @@
             candidates.retain(|c| c.cache_status != CacheStatus::NotWarm && !c.slow_start_spent);
             candidates.retain(|candidate| load.requests(candidate) < bound);
         }
-        let renewed = renewed_candidate(&candidates).copied();
+        let renewed = self.renewed_candidate(&candidates);
         let best = renewed.or_else(|| self.best_candidate(&candidates, &load));
         self.random_draws += 1;
         match best {
