--- a/crates/quartzdrift-lab/tests/outage/discovery.rs
+++ b/crates/quartzdrift-lab/tests/outage/discovery.rs
@@ -1,5 +1,5 @@
 //! A coordinator that many schedulers follow by long polls, and that can fall ill in each of the ways a scheduler must bear.
-use socket2::{Domain, Socket, Type};
+use super::reserved::{self, Reserved};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -85,25 +85,14 @@
 pub struct Discovery {
     pub at: SocketAddr,
     shared: Arc<Shared>,
-    /// Keeps the address while nobody listens there.
-    _holder: Socket,
-}
-
-fn bound(at: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&at.into())?;
-    Ok(socket)
+    _address: Reserved,
 }
 
 impl Discovery {
     /// A coordinator whose first event names these targets, each as an event states it.
     pub fn start(targets: &[String]) -> io::Result<Discovery> {
-        let holder = bound(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-        let at = holder
-            .local_addr()?
-            .as_socket()
-            .ok_or_else(|| io::Error::other("no address"))?;
+        let address = Reserved::any()?;
+        let at = address.at;
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 health: Health::Well,
@@ -117,7 +106,7 @@
         Ok(Discovery {
             at,
             shared,
-            _holder: holder,
+            _address: address,
         })
     }
 
@@ -170,11 +159,10 @@
                 return;
             }
         }
-        let Ok(socket) = bound(at).and_then(|socket| socket.listen(1024).map(|()| socket)) else {
+        let Ok(listener) = reserved::listen(at) else {
             thread::sleep(STEP);
             continue;
         };
-        let listener = TcpListener::from(socket);
         accept(&listener, shared);
         if shared.state().over {
             return;
@@ -183,9 +171,6 @@
 }
 
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
-    listener
-        .set_nonblocking(true)
-        .expect("the listener does not block");
     loop {
         match listener.accept() {
             Ok((stream, _)) => {
--- a/crates/quartzdrift-lab/tests/outage/main.rs
+++ b/crates/quartzdrift-lab/tests/outage/main.rs
@@ -21,6 +21,9 @@
 mod drawn;
 mod fleet;
 mod judge;
+mod reserved;
+#[path = "../soak/seeds.rs"]
+mod seeds;
 #[path = "../soak/stalls.rs"]
 mod stalls;
 mod worker;
@@ -111,17 +114,9 @@
     }
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("OUTAGE_SEEDS") else {
-        return CI_SEEDS;
-    };
-    let (first, end) = text.split_once("..").expect("seeds as in 100..150");
-    first.parse().expect("a seed")..end.parse().expect("a seed")
-}
-
 #[test]
 fn seeded_outages_keep_drains_and_lose_nothing() {
-    let seeds: Vec<u64> = seeds().collect();
+    let seeds: Vec<u64> = seeds::from_environment("OUTAGE_SEEDS", CI_SEEDS).collect();
     let mut faults = Vec::new();
     for some in seeds.chunks(SIDE_BY_SIDE) {
         let scenarios: Vec<Scenario> = some.iter().map(|seed| drawn::scenario(*seed)).collect();
--- a/crates/quartzdrift-lab/tests/outage/worker.rs
+++ b/crates/quartzdrift-lab/tests/outage/worker.rs
@@ -1,9 +1,9 @@
 //! A worker that answers by itself, drains, goes and comes back, and records each request that reached it.
+use super::reserved::{self, Reserved};
 use quartzdrift_platform::frame;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -55,39 +55,21 @@
     phase: Arc<AtomicU8>,
     taken: Arc<Mutex<Vec<Taken>>>,
     thread: Option<JoinHandle<()>>,
-    /// Keeps the address while nobody listens there.
-    _holder: Socket,
-}
-
-fn bound(at: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&at.into())?;
-    Ok(socket)
-}
-
-fn listening(at: SocketAddr) -> io::Result<TcpListener> {
-    let socket = bound(at)?;
-    socket.listen(1024)?;
-    socket.set_nonblocking(true)?;
-    Ok(TcpListener::from(socket))
+    _address: Reserved,
 }
 
 impl Worker {
     /// A worker at an address of its own, which takes work.
     pub fn start(seed: u64) -> io::Result<Worker> {
-        let holder = bound(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-        let at = holder
-            .local_addr()?
-            .as_socket()
-            .ok_or_else(|| io::Error::other("no address"))?;
+        let address = Reserved::any()?;
+        let at = address.at;
         let phase = Arc::new(AtomicU8::new(0));
         let taken = Arc::new(Mutex::new(Vec::new()));
         let mut serving = Serving {
             at,
             phase: phase.clone(),
             taken: taken.clone(),
-            listener: Some(listening(at)?),
+            listener: Some(reserved::listen(at)?),
             connections: BTreeMap::new(),
             last_connection: 0,
             due: BTreeMap::new(),
@@ -100,7 +82,7 @@
             phase,
             taken,
             thread: Some(thread),
-            _holder: holder,
+            _address: address,
         })
     }
 
@@ -173,7 +155,7 @@
             Phase::Up | Phase::Draining => {}
         }
         if self.listener.is_none() {
-            self.listener = listening(self.at).ok();
+            self.listener = reserved::listen(self.at).ok();
         }
         for id in self.wait() {
             self.read(id);
--- a/crates/quartzdrift-lab/tests/soak/main.rs
+++ b/crates/quartzdrift-lab/tests/soak/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod judge;
 mod run;
+mod seeds;
 mod stalls;
 mod worker;
 
@@ -42,17 +43,9 @@
     );
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("SOAK_SEEDS") else {
-        return CI_SEEDS;
-    };
-    let (from, to) = text.split_once("..").expect("SOAK_SEEDS is FROM..TO");
-    from.parse().expect("a seed")..to.parse().expect("a seed")
-}
-
 #[test]
 fn seeded_runs_keep_every_rule() {
-    let seeds: Vec<u64> = seeds().collect();
+    let seeds: Vec<u64> = seeds::from_environment("SOAK_SEEDS", CI_SEEDS).collect();
     let mut broken = Vec::new();
     for some in seeds.chunks(SIDE_BY_SIDE) {
         let runs: Vec<_> = some
--- a/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
@@ -22,8 +22,7 @@
         self.mailbox.send_to_worker(candidate.worker, Message::AttemptStarted(attempt));
         let worker = self.worker_names.name(candidate.worker);
         let timeout = is_limited.then_some(timeout);
-        let context = Context { now: self.now, settings: &self.settings, lease: self.lease_view() };
-        let send_by = self.workers[candidate.worker].usable_until(context);
+        let send_by = self.workers[candidate.worker].usable_until(self.context());
         self.actions.push(Action::StartAttempt { request: id, worker, timeout, send_by });
     }
 
--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_lease.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_lease.rs
@@ -31,6 +31,11 @@
         self.lease.confirmed_at.map(|at| self.now.saturating_sub(at))
     }
 
+    /// What the decisions on a worker rest on besides its state.
+    pub(super) fn context(&self) -> Context<'_> {
+        Context { now: self.now, settings: &self.settings, lease: self.lease_view() }
+    }
+
     pub(super) fn lease_view(&self) -> LeaseView {
         let confirmed_at = self.lease.confirmed_at;
         let Some(lease) = self.settings.endpoint_lease else {
@@ -48,11 +53,10 @@
     /// so answer soon, the one that was sent nothing for longest. Without it all requests would go to the few workers
     /// that rank first, and no other could be used once the list's word ends, nor ever after.
     pub(super) fn renewed_candidate(&self, candidates: &[Candidate]) -> Option<Candidate> {
-        let lease = self.lease_view();
-        if !lease.is_doubted {
+        let context = self.context();
+        if !context.lease.is_doubted {
             return None;
         }
-        let context = Context { now: self.now, settings: &self.settings, lease };
         let cached = candidates.iter().filter(|candidate| candidate.cache_status != CacheStatus::NotWarm);
         let due = cached.filter_map(|candidate| {
             let renewal = self.workers[candidate.worker].due_renewal(context)?;
@@ -78,8 +82,7 @@
         if !lease.is_doubted {
             return;
         }
-        let has_lapsed = !self.lease_holds();
-        if has_lapsed && !std::mem::replace(&mut self.lease.has_lapsed, true) {
+        if lease.has_lapsed(self.now) && !std::mem::replace(&mut self.lease.has_lapsed, true) {
             let age = self.lease_age();
             self.actions.push(Action::Notice(Notice::LeaseLapsed { age }));
         }
--- a/crates/quartzdrift-scheduler/src/scheduler/prefetch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/prefetch.rs
@@ -3,7 +3,7 @@
 use super::constants::{MIN_RENEWAL_PROBABILITY, MIN_SAMPLES, PREFETCH_PAUSE, SLOW_LOAD_RATIO};
 use crate::interface::{Action, EndpointState, Outcome, UsageForecast};
 use crate::messages::PrefetchEnd;
-use crate::state::{CacheEntry, Context, Scheduler, Worker};
+use crate::state::{CacheEntry, Scheduler, Worker};
 use std::cmp::Reverse;
 
 impl Scheduler {
@@ -42,7 +42,7 @@
     fn takes_prefetch(&self, worker: &Worker, request_class: usize) -> bool {
         let is_up = worker.endpoint.state == EndpointState::Up && worker.warming_since.is_none();
         let is_healthy = worker.health.get(&request_class).is_none_or(|health| health.ejections == 0);
-        let context = Context { now: self.now, settings: &self.settings, lease: self.lease_view() };
+        let context = self.context();
         let is_sure = worker.may_be_sent(context) && !worker.is_suspected(context);
         is_up && is_healthy && is_sure && worker.at_capacity_until <= self.now
     }
