Review: the stand-in of the platform signals by the shell's own kill

Cause: a machine without the program kill could not play the platform. Change: review/standins sends signals by /bin/sh.

--- a/review/standins/src/day.rs
+++ b/review/standins/src/day.rs
@@ -4,7 +4,7 @@
 use crate::front::{Front, Outcome};
 use crate::lock;
 use crate::record::Record;
-use crate::scheduler::{Scheduler, check, free_address, private_mb};
+use crate::scheduler::{Scheduler, check, free_address, private_mb, signal};
 use crate::site::{Site, config};
 use crate::worker::{Execution, Executions, Worker};
 use std::collections::BTreeMap;
@@ -203,9 +203,7 @@
         seen.peak_mb = seen.peak_mb.max(memory);
         if memory > f64::from(limit_mb) {
             seen.killed_at_mb = Some(memory);
-            let _ = std::process::Command::new("kill")
-                .args(["-KILL", &process.to_string()])
-                .status();
+            signal(process, "KILL");
             return;
         }
         drop(seen);
--- a/review/standins/src/scheduler.rs
+++ b/review/standins/src/scheduler.rs
@@ -79,18 +79,19 @@
         false
     }
 
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill")
-            .args([name, &self.child.id().to_string()])
-            .status();
-    }
-
     /// The exit status, if the process has ended.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
 }
 
+/// Sends a signal, such as `KILL`, to a process that this program started.
+pub fn signal(process: u32, name: &str) {
+    let _ = Command::new("/bin/sh")
+        .args(["-c", &format!("kill -{name} {process}")])
+        .status();
+}
+
 /// Memory of a process in MB without the pages of its files, which a platform counts too: `RssAnon` and
 /// `RssShmem` of the system. `None` if the process has ended.
 pub fn private_mb(process: u32) -> Option<f64> {
