Scheduler: tables by function name have a bound; popularity goes with its name

What callers saw: a client on one connection that withdrew its requests at once brought a scheduler over its memory limit in 3 to 5 s; it was killed with every request that it held. Cause: each request that is read adds its function to the name table and to the popularities. Names were removed once a minute and only if unused for 84 s, popularities never, and neither had a bound. An index that was used again kept the popularity of its former function, which is a wrong decision besides. Cache entries and the window of the load quota had no bound either. Change: at MAX_FUNCTIONS the least requested functions are forgotten, those with cached copies last and those in use never; what is stored under an index goes with its name. Cache entries have a bound over all workers. The window of the load quota forgets its oldest requests, which can only lower the quota.

--- a/crates/quartzdrift-lab/tests/soak/client.rs
+++ b/crates/quartzdrift-lab/tests/soak/client.rs
@@ -8,6 +8,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Lowest request id of a flood. The ids of all other clients are below it.
+pub const FLOOD_ID: u64 = 1 << 63;
+
 /// Settings of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct Manner {
--- a/crates/quartzdrift-lab/tests/soak/evaluation.rs
+++ b/crates/quartzdrift-lab/tests/soak/evaluation.rs
@@ -1,5 +1,5 @@
 //! Evaluates a run by the operators' rules for requests and attempts.
-use super::client::{RequestOutcome, RequestRecord};
+use super::client::{FLOOD_ID, RequestOutcome, RequestRecord};
 use super::stalls::StallMeter;
 use super::worker::AttemptRecord;
 use std::collections::{BTreeMap, HashMap};
@@ -39,7 +39,8 @@
         .map(|request| (request.id, request))
         .collect();
     let mut stale_attempts = Vec::new();
-    for attempt in observed.attempts {
+    let recorded = |attempt: &&AttemptRecord| attempt.id < FLOOD_ID;
+    for attempt in observed.attempts.iter().filter(recorded) {
         match by_id.get(&attempt.id) {
             Some(request) => stale_attempts
                 .extend(attempt_violation(observed, request, attempt).map(|violation| (attempt, violation))),
@@ -110,6 +111,12 @@
     }
 }
 
+/// Checks that the scheduler's private memory, in megabytes, stayed within its limit.
+pub fn memory_excess(peak_mb: f64, limit_mb: f64) -> Option<String> {
+    (peak_mb > limit_mb)
+        .then(|| format!("killed with {peak_mb:.1} MB of private memory, above {limit_mb} MB"))
+}
+
 /// Checks that the scheduler answered each request that it read; returns the violation, if any. It may have
 /// read any number of the requests whose connections the clients closed. `received`: number of complete
 /// requests that the scheduler read, as it logs at its exit.
--- /dev/null
+++ b/crates/quartzdrift-lab/tests/soak/flood.rs
@@ -0,0 +1,104 @@
+//! Clients that send requests at full speed to fill the scheduler's memory or its time, each within the
+//! limits of the protocol.
+use super::client::FLOOD_ID;
+use quartzdrift_lab::cluster_harness::request_fields;
+use quartzdrift_lab::platform::{Frontend, RequestFields};
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::{self, JoinHandle};
+
+/// Open requests that the protocol allows on one connection.
+const REQUESTS_PER_CONNECTION: u16 = 32;
+/// What the clients of a flood send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FloodKind {
+    /// Requests for new functions, aborted at once; the next ones after the aborts are confirmed.
+    Withdrawn,
+}
+
+/// The clients of a flood, each with one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Flood {
+    pub kind: FloodKind,
+    pub clients: usize,
+}
+
+/// A running flood.
+pub struct RunningFlood {
+    stop_requested: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    /// Starts the clients. They reconnect whenever the scheduler closes their connection.
+    pub fn start(self, address: SocketAddr) -> RunningFlood {
+        let stop_requested = Arc::new(AtomicBool::new(false));
+        let next_id = Arc::new(AtomicU64::new(FLOOD_ID));
+        let threads = (0..self.clients)
+            .map(|_| {
+                let (stop, next_id) = (stop_requested.clone(), next_id.clone());
+                thread::spawn(move || {
+                    while !stop.load(Ordering::Relaxed) {
+                        // A connection that the scheduler closes or refuses is replaced by the next one.
+                        let _ = use_connection(self.kind, address, &stop, &next_id);
+                        thread::yield_now();
+                    }
+                })
+            })
+            .collect();
+        RunningFlood {
+            stop_requested,
+            threads,
+        }
+    }
+}
+
+impl RunningFlood {
+    /// Ends the flood. The scheduler must have ended before, so that no write or read blocks.
+    pub fn stop(self) {
+        self.stop_requested.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            thread.join().expect("a client of the flood must not panic");
+        }
+    }
+}
+
+/// Sends batches on one connection until it ends.
+fn use_connection(
+    kind: FloodKind,
+    address: SocketAddr,
+    stop: &AtomicBool,
+    next_id: &AtomicU64,
+) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address)?;
+    let mut frontend = Frontend::from_stream(stream.try_clone()?)?;
+    while !stop.load(Ordering::Relaxed) {
+        stream.write_all(&encode_batch(kind, next_id))?;
+        for _ in 0..REQUESTS_PER_CONNECTION {
+            frontend.read_reply()?;
+        }
+    }
+    Ok(())
+}
+
+/// Encodes the requests that a client sends at once.
+fn encode_batch(kind: FloodKind, next_id: &AtomicU64) -> Vec<u8> {
+    let mut out = Vec::new();
+    for fastcgi_id in 1..=REQUESTS_PER_CONNECTION {
+        let id = next_id.fetch_add(1, Ordering::Relaxed);
+        let (id_text, function) = (format!("{id:016x}"), format!("{:016x}", id.rotate_left(32)));
+        let fields = RequestFields {
+            function: &function,
+            timeout_ms: "1000",
+            body: b"",
+            ..request_fields("/do/again", &id_text)
+        };
+        out.extend(Frontend::encode_request(fastcgi_id, &fields));
+    }
+    match kind {
+        FloodKind::Withdrawn => out.extend((1..=REQUESTS_PER_CONNECTION).flat_map(Frontend::encode_abort)),
+    }
+    out
+}
--- a/crates/quartzdrift-lab/tests/soak/main.rs
+++ b/crates/quartzdrift-lab/tests/soak/main.rs
@@ -6,11 +6,14 @@
 //! `SOAK_SEEDS=1000..1060 cargo test --release -p quartzdrift-lab --test soak seeded` runs a range of seeds by hand.
 mod client;
 mod evaluation;
+mod flood;
+mod memory;
 mod run;
 mod seeds;
 mod stalls;
 mod worker;
 
+use flood::{Flood, FloodKind};
 use run::{Scenario, ScenarioStep, run};
 use std::time::Duration;
 
@@ -44,6 +47,25 @@
     );
 }
 
+/// Runs steady clients beside a flood, with a reload and a stop under it, and fails if a rule is broken.
+fn assert_served_beside_flood(kind: FloodKind, clients: usize, memory_mb: u32, duration: Duration) {
+    let scenario = Scenario::beside_flood(Flood { kind, clients }, memory_mb, duration);
+    let report = run(&scenario, 1);
+    println!("{clients} clients, {kind:?}, {memory_mb} MB: {}", report.summary);
+    assert!(
+        report.violations.is_empty(),
+        "{}: {:#?}",
+        report.summary,
+        report.violations
+    );
+}
+
+/// Guards against memory that grows with each new function name in a withdrawn request.
+#[test]
+fn withdrawn_requests_for_new_functions_do_not_exceed_the_memory_limit() {
+    assert_served_beside_flood(FloodKind::Withdrawn, 8, 32, Duration::from_secs(14));
+}
+
 #[test]
 fn seeded_runs_break_no_rule() {
     let seeds: Vec<u64> = seeds::from_environment("SOAK_SEEDS", CI_SEEDS).collect();
--- a/crates/quartzdrift-lab/tests/soak/run.rs
+++ b/crates/quartzdrift-lab/tests/soak/run.rs
@@ -1,6 +1,8 @@
 //! A run of a scenario: a scheduler with workers and clients, signals and pauses, and the stop by SIGTERM.
 use super::client::{self, Client, RequestOutcome, RequestRecord};
 use super::evaluation::{self, Observations};
+use super::flood::{Flood, RunningFlood};
+use super::memory::MemoryWatch;
 use super::stalls::StallMeter;
 use super::worker::{self, AttemptRecord, WorkerThread};
 use quartzdrift_lab::cluster_harness::{ClusterHarness, send_signal};
@@ -36,6 +38,8 @@
     pub workers: worker::Manner,
     /// Number of connections that send nothing.
     pub crowd: usize,
+    /// Clients that send at full speed, and the memory limit of the scheduler in megabytes.
+    pub flood: Option<(Flood, u32)>,
     /// Steps before SIGTERM, each with its delay after the previous step.
     pub before: Vec<(Duration, ScenarioStep)>,
     /// Steps after SIGTERM, each with its delay after the previous step.
@@ -66,6 +70,7 @@
                 silent: 0.0,
             },
             crowd: 0,
+            flood: None,
             before: vec![(Duration::from_millis(300), ScenarioStep::Signal("-HUP"))],
             after: ["-HUP", "-TERM"]
                 .map(|name| (Duration::from_millis(20), ScenarioStep::Signal(name)))
@@ -73,6 +78,18 @@
         }
     }
 
+    /// Returns a scenario with twelve clients beside a flood that lasts until the end. The configuration is
+    /// reloaded halfway through `duration`, after which the stop begins.
+    pub fn beside_flood(flood: Flood, memory_mb: u32, duration: Duration) -> Scenario {
+        let mut scenario = Scenario::steady(Duration::from_millis(1500), Duration::from_millis(40));
+        scenario.flood = Some((flood, memory_mb));
+        scenario.before = vec![
+            (duration / 2, ScenarioStep::Signal("-HUP")),
+            (duration / 2, ScenarioStep::Signal("-HUP")),
+        ];
+        scenario
+    }
+
     /// Generates the scenario of a seed.
     pub fn random(seed: u64) -> Scenario {
         let mut random = StdRng::seed_from_u64(seed);
@@ -104,6 +121,7 @@
                 silent: if random.random_bool(0.3) { 0.05 } else { 0.0 },
             },
             crowd: if random.random_bool(0.3) { 40 } else { 0 },
+            flood: None,
             before: steps(&mut random, 4, true),
             after: steps(&mut random, 3, false),
         }
@@ -141,12 +159,7 @@
 
 /// Runs a scenario to its end and evaluates it.
 pub fn run(scenario: &Scenario, seed: u64) -> Report {
-    let deadline = format!("\"deadline-ns\":{}", scenario.deadline.as_nanos());
-    let mut cluster = ClusterHarness::with_config_changes(
-        env!("CARGO_BIN_EXE_quartzdrift-lab"),
-        WORKERS,
-        &[("\"deadline-ns\":60000000000", &deadline), SHORT_SLACK],
-    );
+    let mut cluster = start_cluster(scenario);
     let stalls = StallMeter::start();
     let workers: Vec<WorkerThread> = std::mem::take(&mut cluster.workers)
         .into_iter()
@@ -156,6 +169,13 @@
     let crowd: Vec<TcpStream> = (0..scenario.crowd)
         .filter_map(|_| TcpStream::connect(cluster.address).ok())
         .collect();
+    let memory = scenario.flood.map(|(_, limit_mb)| {
+        (
+            MemoryWatch::start(cluster.process_id(), limit_mb.into()),
+            limit_mb,
+        )
+    });
+    let flood = scenario.flood.map(|(flood, _)| flood.start(cluster.address));
     let clients = start_clients(&cluster, scenario, seed);
     thread::sleep(Duration::from_millis(300));
     let pauses = perform(&cluster, &scenario.before);
@@ -167,6 +187,9 @@
     let has_exited = cluster.has_succeeded_by(kill_at)
         || cluster.has_succeeded_by(kill_at + stalls.between(terminated, kill_at));
     cluster.kill();
+    let has_flood = flood.is_some();
+    flood.into_iter().for_each(RunningFlood::stop);
+    let memory = memory.map(|(watch, limit_mb)| (watch.stop(), f64::from(limit_mb)));
     let requests: Vec<RequestRecord> = clients.into_iter().flat_map(|c| c.join().unwrap()).collect();
     let attempts: Vec<AttemptRecord> = workers.into_iter().flat_map(WorkerThread::stop).collect();
     drop(crowd);
@@ -179,14 +202,28 @@
     });
     violations
         .extend((!has_exited).then(|| "the scheduler had not exited by the time of SIGKILL".to_owned()));
-    violations.extend(evaluation::unanswered(&requests, logged_count(&log, "received")));
-    violations.extend(evaluation::discarded(logged_count(&log, "discarded_bytes")));
+    // The counts include the requests of a flood, whose clients keep no records.
+    if !has_flood {
+        violations.extend(evaluation::unanswered(&requests, logged_count(&log, "received")));
+        violations.extend(evaluation::discarded(logged_count(&log, "discarded_bytes")));
+    }
+    violations.extend(memory.and_then(|(peak_mb, limit_mb)| evaluation::memory_excess(peak_mb, limit_mb)));
     Report {
-        summary: summary(&requests, &attempts, &violations),
+        summary: summary(&requests, &attempts, memory, &violations),
         violations,
     }
 }
 
+fn start_cluster(scenario: &Scenario) -> ClusterHarness {
+    let deadline = format!("\"deadline-ns\":{}", scenario.deadline.as_nanos());
+    let limits = scenario
+        .flood
+        .map(|(_, limit_mb)| format!("\"sockets\":1024,\"memory_mb\":{limit_mb}"));
+    let mut changes = vec![("\"deadline-ns\":60000000000", deadline.as_str()), SHORT_SLACK];
+    changes.extend(limits.as_deref().map(|limits| ("\"sockets\":128", limits)));
+    ClusterHarness::with_config_changes(env!("CARGO_BIN_EXE_quartzdrift-lab"), WORKERS, &changes)
+}
+
 fn start_clients(
     cluster: &ClusterHarness,
     scenario: &Scenario,
@@ -215,11 +252,17 @@
     after.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
 }
 
-fn summary(requests: &[RequestRecord], attempts: &[AttemptRecord], violations: &[String]) -> String {
+fn summary(
+    requests: &[RequestRecord],
+    attempts: &[AttemptRecord],
+    memory: Option<(f64, f64)>,
+    violations: &[String],
+) -> String {
     let served = |r: &&RequestRecord| matches!(r.outcome, RequestOutcome::Answered { status: 200, .. });
     let lost = |r: &&RequestRecord| matches!(r.outcome, RequestOutcome::ConnectionLost { .. });
+    let memory = memory.map_or_else(String::new, |(peak, limit)| format!(", {peak:.1} of {limit} MB"));
     format!(
-        "{} requests, {} served, {} lost their connection, {} attempts, {} violations",
+        "{} requests, {} served, {} lost their connection, {} attempts{memory}, {} violations",
         requests.len(),
         requests.iter().filter(served).count(),
         requests.iter().filter(lost).count(),
--- a/crates/quartzdrift-lifecycle/src/request_table/table.rs
+++ b/crates/quartzdrift-lifecycle/src/request_table/table.rs
@@ -8,7 +8,7 @@
 use crate::timers::Timers;
 use quartzdrift_scheduler::interface::{EndpointState, Event, Outcome, RequestId, Settings};
 use quartzdrift_scheduler::measure::Measurements;
-use quartzdrift_scheduler::scheduler::Scheduler;
+use quartzdrift_scheduler::scheduler::{Scheduler, TableSizes};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -95,10 +95,9 @@
             .map(|(id, _)| id.attempt)
     }
 
-    /// Numbers of workers, functions and open requests in the scheduler's tables, in this order.
-    pub fn scheduler_table_sizes(&self) -> (usize, usize, usize) {
-        let sizes = self.scheduler.table_sizes();
-        (sizes.workers, sizes.functions, sizes.open_requests)
+    /// Sizes of the scheduler's tables.
+    pub fn scheduler_table_sizes(&self) -> TableSizes {
+        self.scheduler.table_sizes()
     }
 
     /// Whether a request has not had its final response.
--- a/crates/quartzdrift-scheduler/src/measure/decay.rs
+++ b/crates/quartzdrift-scheduler/src/measure/decay.rs
@@ -60,6 +60,16 @@
         self.sums.get(&key).map_or(0.0, |sum| sum.value(now, self.half_life))
     }
 
+    /// Returns the number of keys with a sum.
+    pub(crate) fn len(&self) -> usize {
+        self.sums.len()
+    }
+
+    /// Removes the sum of a key. The total keeps the amounts that were added under the key.
+    pub(crate) fn remove(&mut self, key: usize) {
+        self.sums.remove(&key);
+    }
+
     /// Returns the sum over all keys.
     pub fn total(&self, now: Duration) -> f64 {
         self.total.value(now, self.half_life)
--- a/crates/quartzdrift-scheduler/src/measure/window.rs
+++ b/crates/quartzdrift-scheduler/src/measure/window.rs
@@ -2,21 +2,25 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Counts the events of the last `span`, both ends included. A span of zero counts no events.
+/// Counts the events of the last `span`, both ends included. A span of zero counts no events. Beyond a
+/// maximum number of events, the oldest are forgotten, so that the count is too low and never too high.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SlidingWindow {
     span: Duration,
+    max_events: usize,
     event_times: VecDeque<Duration>,
 }
 
 impl SlidingWindow {
-    pub(crate) fn new(span: Duration) -> SlidingWindow {
-        SlidingWindow { span, event_times: VecDeque::new() }
+    pub(crate) fn new(span: Duration, max_events: usize) -> SlidingWindow {
+        SlidingWindow { span, max_events, event_times: VecDeque::new() }
     }
 
     pub(crate) fn add(&mut self, now: Duration) {
         if !self.span.is_zero() {
-            self.count(now);
+            if self.count(now) >= self.max_events {
+                self.event_times.pop_front();
+            }
             self.event_times.push_back(now);
         }
     }
--- a/crates/quartzdrift-scheduler/src/names.rs
+++ b/crates/quartzdrift-scheduler/src/names.rs
@@ -48,22 +48,35 @@
         self.entries[index].name.clone()
     }
 
-    /// Removes the names that were last used before `oldest`, except those in use.
-    pub(crate) fn remove_unused_since(&mut self, oldest: Duration, in_use: &BTreeSet<usize>) {
+    /// Whether the table holds a name.
+    pub(crate) fn contains(&self, name: &str) -> bool {
+        self.indexes.contains_key(name)
+    }
+
+    /// Returns the indexes of all names, in the order of the names.
+    pub(crate) fn indexes(&self) -> impl Iterator<Item = usize> {
+        self.indexes.values().copied()
+    }
+
+    /// Removes the names that were last used before `oldest`, except those in use. Returns their indexes.
+    pub(crate) fn remove_unused_since(&mut self, oldest: Duration, in_use: &BTreeSet<usize>) -> Vec<usize> {
         let last_used_at: Vec<Duration> = self.entries.iter().map(|entry| entry.last_used_at).collect();
-        self.remove_if(|index| last_used_at[index] < oldest && !in_use.contains(&index));
+        self.remove_if(|index| last_used_at[index] < oldest && !in_use.contains(&index))
     }
 
     /// Removes the names whose index satisfies the predicate, and frees their indexes for other names.
-    pub(crate) fn remove_if(&mut self, mut is_removable: impl FnMut(usize) -> bool) {
-        let free_indexes = &mut self.free_indexes;
+    /// Returns the freed indexes: the caller must remove what it stores under them.
+    pub(crate) fn remove_if(&mut self, mut is_removable: impl FnMut(usize) -> bool) -> Vec<usize> {
+        let mut removed = Vec::new();
         self.indexes.retain(|_, &mut index| {
-            let removed = is_removable(index);
-            if removed {
-                free_indexes.push(index);
+            let is_removed = is_removable(index);
+            if is_removed {
+                removed.push(index);
             }
-            !removed
+            !is_removed
         });
+        self.free_indexes.extend(&removed);
+        removed
     }
 }
 
--- a/crates/quartzdrift-scheduler/src/scheduler/admission.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/admission.rs
@@ -15,7 +15,7 @@
             let reason = RejectReason::UnknownClass;
             return self.actions.push(Action::Reject { request: request.id, retry_after, reason });
         }
-        let function = self.function_names.index(request.function, self.now);
+        let function = self.function_index(request.function);
         self.record_demand(request, function);
         let open_request = OpenRequest {
             request_class,
--- a/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
@@ -20,6 +20,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let number = request.add_attempt(candidate.worker, candidate.cache_status, self.now);
         let attempt = Attempt { request: id, number, query, timeout, sent_at: self.now };
+        self.cache_insertions += 1;
         self.mailbox.send_to_worker(candidate.worker, Message::AttemptStarted(attempt));
         let worker = self.worker_names.name(candidate.worker);
         let timeout = is_limited.then_some(timeout);
--- a/crates/quartzdrift-scheduler/src/scheduler/constants.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/constants.rs
@@ -135,3 +135,19 @@
 pub(super) const SWEEP_INTERVAL: Duration = millis(60_000);
 /// Time for which a removed worker is kept. After that, no endpoint list is expected to name it.
 pub(super) const GONE_WORKER_RETENTION: Duration = millis(600_000);
+
+// Maximum sizes of tables.
+
+/// Number of functions in the name table above which the least requested ones are forgotten. A scheduler with
+/// 950 requests per second and a keep-alive of 15 s has at most 14,250 functions with cached copies.
+pub(super) const MAX_FUNCTIONS: usize = 16_384;
+/// Number of cache entries at all workers above which expired ones are removed before the next sweep, and
+/// then those that expire first. A scheduler with 4,000 requests per second and a keep-alive of 15 s has at
+/// most 60,000.
+pub(super) const MAX_CACHE_ENTRIES: usize = 65_536;
+/// Reciprocal of the share of a full table that is free after entries were forgotten, so that few events
+/// need to forget any.
+pub(super) const FREED_SHARE_DIVISOR: usize = 4;
+/// Number of requests and of load commands that count towards the load quota. Further requests would raise
+/// the quota above any use of it.
+pub(super) const MAX_QUOTA_EVENTS: usize = 65_536;
--- a/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
@@ -60,7 +60,7 @@
             Event::SchedulerCount(count) => self.settings.set_schedulers(count),
             Event::LoadEnded { worker, function, outcome, duration, copies } => {
                 let worker = self.worker_index(worker);
-                let function = self.function_names.index(function, self.now);
+                let function = self.function_index(function);
                 self.end_prefetch(&PrefetchEnd { worker, function, outcome, duration, copies });
             }
             Event::StreamingStarted { .. } | Event::HealthChecked { .. } | Event::PeerMessage { .. } => {}
--- a/crates/quartzdrift-scheduler/src/scheduler/prefetch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/prefetch.rs
@@ -2,7 +2,9 @@
 use super::constants::{
     DEFAULT_ATTEMPT_TIMEOUT, FLEET_OVERLOAD_BOUND, MAX_UNRECLAIMABLE_SHARE, MEDIAN, MIN_LOAD_PROBABILITY,
 };
-use super::constants::{MIN_RENEWAL_PROBABILITY, MIN_SAMPLES, PREFETCH_PAUSE, SLOW_LOAD_RATIO};
+use super::constants::{
+    MAX_QUOTA_EVENTS, MIN_RENEWAL_PROBABILITY, MIN_SAMPLES, PREFETCH_PAUSE, SLOW_LOAD_RATIO,
+};
 use crate::interface::{Action, EndpointState, Outcome, UsageForecast};
 use crate::messages::PrefetchEnd;
 use crate::state::{CacheEntry, Scheduler, Worker};
@@ -17,7 +19,7 @@
         if !self.settings.allows_load_commands || request_class >= self.classes.len() || is_paused {
             return;
         }
-        let function = self.function_names.index(forecast.function, self.now);
+        let function = self.function_index(forecast.function);
         let is_accepting = |worker: &&Worker| self.accepts_prefetch(worker, request_class);
         let mut workers: Vec<usize> =
             self.workers.iter().filter(is_accepting).map(|worker| worker.index).collect();
@@ -35,6 +37,7 @@
             if !self.consume_load_quota() {
                 return;
             }
+            self.cache_insertions += 1;
             let entry = self.workers[worker].cache.entry(function).or_default();
             entry.assumed_until = self.now + self.settings.keep_alive;
             let worker = self.worker_names.name(worker);
@@ -88,7 +91,9 @@
     fn consume_load_quota(&mut self) -> bool {
         let requests = self.load_quota_requests.count(self.now) as f64;
         let quota = self.settings.load_quota_burst + self.settings.load_quota_share * requests;
-        let is_spent = self.load_quota_commands.count(self.now) as f64 + 1.0 > quota;
+        let commands = self.load_quota_commands.count(self.now);
+        // The window must not forget a command, since the quota would be exceeded.
+        let is_spent = commands as f64 + 1.0 > quota || commands >= MAX_QUOTA_EVENTS;
         if !is_spent {
             self.load_quota_commands.add(self.now);
         }
@@ -102,6 +107,7 @@
         let until = self.now + self.settings.keep_alive;
         let loaded = CacheEntry { is_cached: true, known_until: until, assumed_until: until };
         let entry = if is_loaded { loaded } else { CacheEntry::default() };
+        self.cache_insertions += 1;
         self.workers[end.worker].cache.insert(end.function, entry);
         let has_samples = self.prefetch_durations.count() >= MIN_SAMPLES;
         let slow_threshold = self.prefetch_durations.quantile(MEDIAN).mul_f64(SLOW_LOAD_RATIO);
--- a/crates/quartzdrift-scheduler/src/scheduler/settings.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/settings.rs
@@ -5,7 +5,7 @@
 use super::constants::{
     DEFAULT_ATTEMPT_TIMEOUT, FIRST_BIN_EDGE, MAX_SAMPLES, POPULARITY_HALF_LIFE, SLOW_START_SAFETY,
 };
-use super::constants::{THROUGHPUT_HALF_LIFE, WATCH_RETRY_DELAY};
+use super::constants::{MAX_QUOTA_EVENTS, THROUGHPUT_HALF_LIFE, WATCH_RETRY_DELAY};
 use crate::interface::{ReportField, Settings, Tenant};
 use crate::measure::{DecayingSums, Histogram, RelativeSpeeds, SlidingWindow};
 use crate::state::{ClassState, DerivedSettings, Scheduler};
@@ -27,8 +27,11 @@
             relative_speeds: RelativeSpeeds::new(POPULARITY_HALF_LIFE),
             // The quota excludes a request at the exact start of the window, but includes a load command
             // there.
-            load_quota_requests: SlidingWindow::new(quota_window.saturating_sub(Duration::from_nanos(1))),
-            load_quota_commands: SlidingWindow::new(quota_window),
+            load_quota_requests: SlidingWindow::new(
+                quota_window.saturating_sub(Duration::from_nanos(1)),
+                MAX_QUOTA_EVENTS,
+            ),
+            load_quota_commands: SlidingWindow::new(quota_window, MAX_QUOTA_EVENTS),
             prefetch_durations: durations,
             ..Scheduler::default()
         }
--- a/crates/quartzdrift-scheduler/src/state/scheduler.rs
+++ b/crates/quartzdrift-scheduler/src/state/scheduler.rs
@@ -43,6 +43,12 @@
     pub(crate) listed_workers_stale: bool,
     pub(crate) worker_names: NameTable,
     pub(crate) function_names: NameTable,
+    /// Number of functions at which the least requested ones are forgotten; 0 until it is first computed.
+    pub(crate) function_limit: usize,
+    /// Functions that were forgotten because the name table was full.
+    pub(crate) forgotten_functions: u64,
+    /// Upper bound of the number of cache entries at all workers.
+    pub(crate) cache_insertions: usize,
     pub(crate) mailbox: Mailbox<Message>,
     pub(crate) now: Duration,
     pub(crate) last_sweep_at: Duration,
@@ -71,15 +77,24 @@
     pub functions: usize,
     /// Number of requests without a final response.
     pub open_requests: usize,
+    /// Number of cache entries at all workers, including expired ones.
+    pub cache_entries: usize,
+    /// Number of functions with a measured popularity.
+    pub popularities: usize,
+    /// Functions that were forgotten since the start because the name table was full.
+    pub forgotten_functions: u64,
 }
 
 impl Scheduler {
-    /// Returns the current number of workers, functions and open requests.
+    /// Returns the current sizes of the tables.
     pub fn table_sizes(&self) -> TableSizes {
         TableSizes {
             workers: self.worker_names.len(),
             functions: self.function_names.len(),
             open_requests: self.requests.len(),
+            cache_entries: self.workers.iter().map(|worker| worker.cache.len()).sum(),
+            popularities: self.requested_work.len(),
+            forgotten_functions: self.forgotten_functions,
         }
     }
 
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -347,7 +347,7 @@
         }
         self.table_sizes_logged_at = now;
         let [clients, workers, connections, attempts_on_sockets, open_ids] = self.table_sizes();
-        let (worker_names, function_names, scheduler_requests) = self.request_table.scheduler_table_sizes();
+        let scheduler = self.request_table.scheduler_table_sizes();
         tracing::debug!(
             clients,
             workers,
@@ -357,10 +357,16 @@
             attempts_in_flight = self.request_table.attempts_in_flight(),
             open_ids,
             open_requests = self.request_table.open_requests(),
-            scheduler_requests,
+            scheduler_requests = scheduler.open_requests,
             "table sizes"
         );
-        tracing::debug!(worker_names, function_names, "scheduler table sizes");
+        tracing::debug!(
+            worker_names = scheduler.workers,
+            function_names = scheduler.functions,
+            forgotten_functions = scheduler.forgotten_functions,
+            cache_entries = scheduler.cache_entries,
+            "scheduler table sizes"
+        );
     }
 
     /// Carries out the outputs of the request table until none are left.
