run: one memory budget over all clients; the one that holds most is refused first

What callers saw: 150 clients that sent the beginnings of 32 requests each, all within the protocol's limits, brought a scheduler over its limit of 48 MB in half a second; it was killed with every request that it held. Cause: every bound was one for a peer, and limits.memory_mb was not used. Input buffers also kept up to 128 KiB for an incomplete record, and output buffers kept what the system had accepted until all of it was sent. Change: half of the limit is a budget for what clients send and do not read. Half of that is guaranteed to the clients in equal parts, the rest is shared. Without room, partial requests of larger holders are refused, then the client's own, before the body is kept; both with 503 and a retry delay. Their remaining records are skipped. Reading never stops, since an abort may follow. Buffers give back what they do not need. Open: input of incomplete answers of workers, and serve, have no such bound.

--- a/crates/quartzdrift-fastcgi/src/messages.rs
+++ b/crates/quartzdrift-fastcgi/src/messages.rs
@@ -22,6 +22,9 @@
     MalformedParams,
     /// The request's parameters or body exceed the limit. The connection accepts no further request.
     TooLarge,
+    /// The request exceeded the bytes that were available for partial requests. Its remaining records are
+    /// skipped, and the connection accepts further requests.
+    NoMemory,
 }
 
 /// An event on a connection, reported by [`Responder::read`](crate::Responder::read).
--- a/crates/quartzdrift-fastcgi/src/params.rs
+++ b/crates/quartzdrift-fastcgi/src/params.rs
@@ -78,6 +78,11 @@
         self.get(name).and_then(|value| std::str::from_utf8(value).ok())
     }
 
+    /// Bytes of memory that the pairs use.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        self.bytes.capacity() + self.pairs.capacity() * size_of::<PairRanges>()
+    }
+
     /// Iterates over all names and values.
     pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
         self.pairs
--- a/crates/quartzdrift-fastcgi/src/responder.rs
+++ b/crates/quartzdrift-fastcgi/src/responder.rs
@@ -5,8 +5,8 @@
     ABORT_REQUEST, BEGIN_REQUEST, END_REQUEST, GET_VALUES, GET_VALUES_RESULT, HEADER_LENGTH, PARAMS,
     RecordHeader, STDIN, STDOUT, UNKNOWN_TYPE, UnsupportedVersion, write_record, write_stream,
 };
-use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 /// Role "responder" in a [`BEGIN_REQUEST`] record.
@@ -19,6 +19,8 @@
 const APPLICATION_ABORTED: u32 = 1;
 /// Maximum number of records that belong to no open request, counted since the last complete request.
 pub(crate) const MAX_STRAY_RECORDS: u32 = 1024;
+/// Bytes of memory that an open request uses apart from its parameters and body.
+const OPEN_REQUEST_BYTES: usize = 128;
 
 /// Protocol status in an [`END_REQUEST`] record.
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +54,16 @@
     fn is_unanswered(&self) -> bool {
         matches!(self.stage, ReceiveStage::Unanswered)
     }
+
+    /// Bytes of memory that the request uses.
+    fn memory_bytes(&self) -> usize {
+        let received = match &self.stage {
+            ReceiveStage::Params(bytes) => bytes.capacity(),
+            ReceiveStage::Body { params, body } => params.memory_bytes() + body.capacity(),
+            ReceiveStage::Unanswered => 0,
+        };
+        OPEN_REQUEST_BYTES + received
+    }
 }
 
 /// The responder side of one connection.
@@ -60,6 +72,10 @@
     limits: Limits,
     /// Open requests by their ids.
     open_requests: BTreeMap<u16, OpenRequest>,
+    /// Requests that were refused for lack of memory, whose remaining records are skipped.
+    refused_requests: BTreeSet<u16>,
+    /// Bytes of memory that the open requests may use during the current [`Responder::read`].
+    max_memory_bytes: usize,
     /// Number of records since the last complete request that belong to no open request.
     stray_records: u32,
     /// Whether the connection accepts no new request. Then all records except [`ABORT_REQUEST`] are skipped.
@@ -78,6 +94,8 @@
         Responder {
             limits,
             open_requests: BTreeMap::new(),
+            refused_requests: BTreeSet::new(),
+            max_memory_bytes: usize::MAX,
             stray_records: 0,
             closing: false,
             bytes_to_skip: 0,
@@ -99,6 +117,24 @@
         self.open_requests.is_empty()
     }
 
+    /// Returns the bytes of memory that the open requests use.
+    pub fn memory_bytes(&self) -> usize {
+        self.open_requests.values().map(OpenRequest::memory_bytes).sum()
+    }
+
+    /// Refuses the partial request that began last, to free its memory, and returns its id. It needs exactly
+    /// one response, as after [`InvalidRequestReason::NoMemory`].
+    pub fn refuse_newest_partial_request(&mut self) -> Option<u16> {
+        let partial = self
+            .open_requests
+            .iter()
+            .filter(|(_, request)| !request.is_unanswered());
+        let newest = partial.max_by_key(|(_, request)| request.ordinal);
+        let request_id = newest.map(|(request_id, _)| *request_id)?;
+        self.refuse(request_id);
+        Some(request_id)
+    }
+
     /// Returns whether any request has begun and is not complete.
     pub fn has_partial_request(&self) -> bool {
         self.open_requests
@@ -135,16 +171,19 @@
     }
 
     /// Processes the complete records in `input` and returns the number of consumed bytes. Appends the
-    /// received events to `events`, and the replies that FastCGI itself requires to `out`.
+    /// received events to `events`, and the replies that FastCGI itself requires to `out`. A partial request
+    /// for which the open requests would use more than `max_memory_bytes` is refused.
     ///
     /// # Errors
     /// [`ProtocolError`] if the peer violates the protocol; the connection has to be closed.
     pub fn read(
         &mut self,
         input: &[u8],
+        max_memory_bytes: usize,
         out: &mut Vec<u8>,
         events: &mut Vec<Event>,
     ) -> Result<usize, ProtocolError> {
+        self.max_memory_bytes = max_memory_bytes;
         let mut consumed = 0;
         loop {
             consumed += self.skip_bytes(input.len() - consumed);
@@ -236,6 +275,10 @@
         events: &mut Vec<Event>,
     ) -> Result<(), ProtocolError> {
         let request_id = header.request_id;
+        let is_part = matches!(header.record_type, PARAMS | STDIN) && !content.is_empty();
+        if is_part && self.refuse_without_memory(request_id, content.len(), events) {
+            return Ok(());
+        }
         match (header.record_type, request_id) {
             (GET_VALUES, 0) => {
                 self.count_stray_record()?;
@@ -256,6 +299,53 @@
         }
     }
 
+    /// Drops what was received of a request. Its remaining records are skipped, as far as the peer refuses no
+    /// more requests than it may have open.
+    fn refuse(&mut self, request_id: u16) {
+        if let Some(request) = self.open_requests.get_mut(&request_id) {
+            request.stage = ReceiveStage::Unanswered;
+            self.has_received_request = true;
+        }
+        if self.refused_requests.len() < self.limits.max_open_requests {
+            self.refused_requests.insert(request_id);
+        }
+    }
+
+    /// Refuses a partial request if the open requests would use more memory than they may with a further
+    /// part of its parameters or body. Returns whether it was refused.
+    fn refuse_without_memory(
+        &mut self,
+        request_id: u16,
+        content_length: usize,
+        events: &mut Vec<Event>,
+    ) -> bool {
+        let request = self.open_requests.get(&request_id);
+        let additional_bytes = match request.map(|request| &request.stage) {
+            Some(ReceiveStage::Params(bytes)) => additional_capacity(bytes, content_length),
+            Some(ReceiveStage::Body { body, .. }) => additional_capacity(body, content_length),
+            Some(ReceiveStage::Unanswered) | None => return false,
+        };
+        if self.memory_bytes() + additional_bytes <= self.max_memory_bytes {
+            return false;
+        }
+        self.refuse(request_id);
+        let reason = InvalidRequestReason::NoMemory;
+        events.push(Event::InvalidRequest { request_id, reason });
+        true
+    }
+
+    /// Handles a record of a stream that no open request awaits: skips it if it belongs to a refused request,
+    /// and counts it otherwise. The end of the body is the last record of a request.
+    fn skip_record(&mut self, request_id: u16, is_end: bool) -> Result<(), ProtocolError> {
+        if !self.refused_requests.contains(&request_id) {
+            return self.count_stray_record();
+        }
+        if is_end {
+            self.refused_requests.remove(&request_id);
+        }
+        Ok(())
+    }
+
     fn count_stray_record(&mut self) -> Result<(), ProtocolError> {
         self.stray_records += 1;
         if self.stray_records > MAX_STRAY_RECORDS {
@@ -277,12 +367,15 @@
         if self.open_requests.contains_key(&request_id) {
             return Err(ProtocolError::RequestIdInUse(request_id));
         }
+        self.refused_requests.remove(&request_id);
         let keep_connection = flags & KEEP_CONNECTION != 0;
         let ordinal = self.requests_begun;
         self.requests_begun += 1;
         let rejection = if u16::from_be_bytes([role1, role0]) != ROLE_RESPONDER {
             Some(ProtocolStatus::UnknownRole)
-        } else if self.open_requests.len() >= self.limits.max_open_requests {
+        } else if self.open_requests.len() >= self.limits.max_open_requests
+            || self.memory_bytes() + OPEN_REQUEST_BYTES > self.max_memory_bytes
+        {
             Some(ProtocolStatus::Overloaded)
         } else {
             None
@@ -310,8 +403,9 @@
         events: &mut Vec<Event>,
     ) -> Result<(), ProtocolError> {
         let Some(request) = self.open_requests.remove(&request_id) else {
-            return self.count_stray_record();
+            return self.skip_record(request_id, true);
         };
+        self.refused_requests.remove(&request_id);
         write_end_request(out, request_id, ProtocolStatus::Complete, APPLICATION_ABORTED);
         self.closing |= !request.keep_connection;
         if request.is_unanswered() {
@@ -328,19 +422,20 @@
         events: &mut Vec<Event>,
     ) -> Result<(), ProtocolError> {
         let Some(request) = self.open_requests.get_mut(&request_id) else {
-            return self.count_stray_record();
+            return self.skip_record(request_id, false);
         };
         let ReceiveStage::Params(bytes) = &mut request.stage else {
-            return self.count_stray_record();
+            return self.skip_record(request_id, false);
         };
         if !content.is_empty() {
-            bytes.extend_from_slice(content);
+            append(bytes, content);
             return Ok(());
         }
         match Params::read(std::mem::take(bytes)) {
             Ok(params) => {
                 let body = Vec::new();
                 request.stage = ReceiveStage::Body { params, body };
+                self.refuse_without_memory(request_id, 0, events);
             }
             Err(InvalidParams) => {
                 request.stage = ReceiveStage::Unanswered;
@@ -360,13 +455,13 @@
         events: &mut Vec<Event>,
     ) -> Result<(), ProtocolError> {
         let Some(request) = self.open_requests.get_mut(&request_id) else {
-            return self.count_stray_record();
+            return self.skip_record(request_id, content.is_empty());
         };
         let ReceiveStage::Body { params, body } = &mut request.stage else {
-            return self.count_stray_record();
+            return self.skip_record(request_id, content.is_empty());
         };
         if !content.is_empty() {
-            body.extend_from_slice(content);
+            append(body, content);
             return Ok(());
         }
         let params = std::mem::take(params);
@@ -400,6 +495,23 @@
     }
 }
 
+/// Bytes by which a buffer grows if `length` bytes are appended by [`append`].
+fn additional_capacity(buffer: &Vec<u8>, length: usize) -> usize {
+    let needed = buffer.len() + length;
+    if needed <= buffer.capacity() {
+        return 0;
+    }
+    // Doubling bounds the number of copies if a peer sends many small parts.
+    needed.max(buffer.capacity() * 2) - buffer.capacity()
+}
+
+/// Appends a part to the parameters or body of a request.
+fn append(buffer: &mut Vec<u8>, content: &[u8]) {
+    let capacity = buffer.capacity() + additional_capacity(buffer, content.len());
+    buffer.reserve_exact(capacity - buffer.len());
+    buffer.extend_from_slice(content);
+}
+
 /// Formats the header fields of a response, including the empty line after them.
 fn response_header(response: &Response) -> String {
     let mut header = format!(
--- a/crates/quartzdrift-fastcgi/tests/responder.rs
+++ b/crates/quartzdrift-fastcgi/tests/responder.rs
@@ -38,10 +38,18 @@
 /// Passes all input at once; returns the result, the events and the bytes that the responder wrote itself.
 fn read_all(responder: &mut Responder, input: &[u8]) -> (Result<usize, ProtocolError>, Vec<Event>, Vec<u8>) {
     let (mut out, mut events) = (Vec::new(), Vec::new());
-    let read = responder.read(input, &mut out, &mut events);
+    let read = responder.read(input, usize::MAX, &mut out, &mut events);
     (read, events, out)
 }
 
+/// Passes all input at once with a limit of the memory for open requests; returns the events.
+fn read_within(responder: &mut Responder, input: &[u8], max_memory_bytes: usize) -> Vec<Event> {
+    let mut events = Vec::new();
+    let consumed = responder.read(input, max_memory_bytes, &mut Vec::new(), &mut events);
+    assert_eq!(consumed, Ok(input.len()));
+    events
+}
+
 /// Decodes the records in `bytes` to their type, request id and content.
 fn decode_records(mut bytes: &[u8]) -> Vec<(u8, u16, Vec<u8>)> {
     let mut records = Vec::new();
@@ -351,7 +359,9 @@
     let (mut buffer, mut events, mut out) = (Vec::new(), Vec::new(), Vec::new());
     for byte in later_input {
         buffer.push(byte);
-        let consumed = responder.read(&buffer, &mut out, &mut events).unwrap();
+        let consumed = responder
+            .read(&buffer, usize::MAX, &mut out, &mut events)
+            .unwrap();
         buffer.drain(..consumed);
         assert!(
             buffer.len() <= HEADER_LENGTH,
@@ -405,3 +415,67 @@
         ResponseOutcome::CloseConnection
     );
 }
+
+#[test]
+fn a_request_without_memory_is_refused_once_and_the_next_one_is_received() {
+    let mut responder = responder();
+    let large = request(1, 1, &[], &[7; 1024]);
+    let refused = Event::InvalidRequest {
+        request_id: 1,
+        reason: InvalidRequestReason::NoMemory,
+    };
+    assert_eq!(read_within(&mut responder, &large, 512), vec![refused]);
+    let mut out = Vec::new();
+    let outcome = responder.respond(1, &response(b"later"), &mut out);
+    assert_eq!(outcome, ResponseOutcome::KeepConnection);
+    assert!(responder.is_idle());
+    let events = read_within(&mut responder, &request(1, 1, &[], b"small"), 512);
+    assert!(matches!(&events[..], [Event::Request { request_id: 1, body, .. }] if body == b"small"));
+}
+
+#[test]
+fn the_newest_partial_request_is_refused_to_free_memory_and_its_records_are_skipped() {
+    let mut responder = responder();
+    let (first, second) = (request(1, 1, &[], &[1; 512]), request(2, 1, &[], &[2; 512]));
+    let end = first.len() - HEADER_LENGTH;
+    assert_eq!(read_all(&mut responder, &first[..end]).1, vec![]);
+    assert_eq!(read_all(&mut responder, &second[..end]).1, vec![]);
+    let before = responder.memory_bytes();
+    assert_eq!(responder.refuse_newest_partial_request(), Some(2));
+    assert!(responder.memory_bytes() + 512 <= before);
+    responder.respond(2, &response(b"later"), &mut Vec::new());
+    assert_eq!(read_all(&mut responder, &second[end..]).1, vec![]);
+    let events = read_all(&mut responder, &first[end..]).1;
+    assert!(matches!(&events[..], [Event::Request { request_id: 1, .. }]));
+}
+
+proptest! {
+    /// Guards against partial requests that exceed the memory that is available for them.
+    #[test]
+    fn open_requests_never_use_more_memory_than_available(
+        parts in proptest::collection::vec((1..6_u16, 0..3_u8, 0..400_usize), 1..200),
+        max_memory_bytes in 600..4000_usize,
+    ) {
+        let mut responder = responder();
+        for (request_id, kind, length) in parts {
+            let mut input = Vec::new();
+            match kind {
+                0 => write_begin(&mut input, request_id, 1, 1),
+                1 => write_record(&mut input, PARAMS, request_id, &vec![b'x'; length.min(200)]),
+                _ => write_record(&mut input, STDIN, request_id, &vec![b'x'; length]),
+            }
+            let mut events = Vec::new();
+            if responder.read(&input, max_memory_bytes, &mut Vec::new(), &mut events).is_err() {
+                return Ok(());
+            }
+            // Four open requests use 512 bytes apart from what is received of them.
+            prop_assert!(responder.memory_bytes() <= max_memory_bytes);
+            for event in events {
+                let (Event::Request { request_id, .. } | Event::InvalidRequest { request_id, .. }) = event else {
+                    continue;
+                };
+                responder.respond(request_id, &response(b""), &mut Vec::new());
+            }
+        }
+    }
+}
--- a/crates/quartzdrift-http/src/socket.rs
+++ b/crates/quartzdrift-http/src/socket.rs
@@ -11,6 +11,8 @@
 pub(crate) const MAX_READ_BYTES: usize = 64 << 10;
 /// Maximum capacity, in bytes, that an empty buffer keeps.
 const MAX_EMPTY_CAPACITY: usize = 4 << 10;
+/// Ratio of a buffer's capacity to its content from which the capacity is reduced.
+const MAX_CAPACITY_RATIO: usize = 4;
 
 /// One TCP connection with the state `T` that its owner attaches to it.
 #[derive(Debug)]
@@ -80,6 +82,11 @@
         self.output.len() - self.written
     }
 
+    /// Bytes of memory that the output buffer uses.
+    pub fn output_capacity(&self) -> usize {
+        self.output.capacity()
+    }
+
     /// When a write first blocked since the output was last empty; `None` if no write has blocked since then.
     pub fn write_blocked_since(&self) -> Option<Instant> {
         self.write_blocked_since
@@ -154,8 +161,8 @@
     /// Removes bytes from the front of the input after the owner has processed them.
     pub fn consume(&mut self, bytes: usize) {
         self.input.drain(..bytes);
-        if self.input.is_empty() {
-            self.input.shrink_to(MAX_EMPTY_CAPACITY);
+        if self.input.len() <= self.input.capacity() / MAX_CAPACITY_RATIO {
+            self.input.shrink_to(MAX_EMPTY_CAPACITY.max(self.input.len()));
         }
     }
 
@@ -195,6 +202,7 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     self.write_blocked_since.get_or_insert_with(Instant::now);
+                    self.discard_written();
                     return true;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -211,6 +219,16 @@
         true
     }
 
+    /// Removes the bytes that the system has accepted from the buffer, once they are at least half of it. A
+    /// peer that never reads everything would otherwise make the buffer grow without end.
+    fn discard_written(&mut self) {
+        if self.written >= self.unsent_bytes() {
+            self.output.drain(..self.written);
+            self.written = 0;
+            self.output.shrink_to(MAX_EMPTY_CAPACITY.max(self.output.len()));
+        }
+    }
+
     /// Discards the output after a failed write and marks the socket readable: the peer may have sent input
     /// before the failure.
     fn fail_write(&mut self) {
--- a/crates/quartzdrift-lab/tests/soak/flood.rs
+++ b/crates/quartzdrift-lab/tests/soak/flood.rs
@@ -1,9 +1,10 @@
 //! Clients that send requests at full speed to fill the scheduler's memory or its time, each within the
 //! limits of the protocol.
 use super::client::FLOOD_ID;
+use quartzdrift_fastcgi::{self as fastcgi, write_pair, write_record};
 use quartzdrift_lab::cluster_harness::request_fields;
 use quartzdrift_lab::platform::{Frontend, RequestFields};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -11,11 +12,20 @@
 
 /// Open requests that the protocol allows on one connection.
 const REQUESTS_PER_CONNECTION: u16 = 32;
+/// Largest body that the protocol allows, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 10;
+/// Parameters of one request in a flood that fills the parameter limit of 8 KiB almost, in bytes.
+const LONG_PARAMS_BYTES: usize = 7 << 10;
+
 /// What the clients of a flood send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FloodKind {
     /// Requests for new functions, aborted at once; the next ones after the aborts are confirmed.
     Withdrawn,
+    /// Requests whose bodies never end.
+    UnfinishedBodies,
+    /// Requests whose parameters never end.
+    UnfinishedParams,
 }
 
 /// The clients of a flood, each with one connection.
@@ -76,6 +86,10 @@
     let mut frontend = Frontend::from_stream(stream.try_clone()?)?;
     while !stop.load(Ordering::Relaxed) {
         stream.write_all(&encode_batch(kind, next_id))?;
+        if kind != FloodKind::Withdrawn {
+            // The scheduler closes the connection when the time for a request is over.
+            return stream.read_to_end(&mut Vec::new()).map(drop);
+        }
         for _ in 0..REQUESTS_PER_CONNECTION {
             frontend.read_reply()?;
         }
@@ -87,18 +101,41 @@
 fn encode_batch(kind: FloodKind, next_id: &AtomicU64) -> Vec<u8> {
     let mut out = Vec::new();
     for fastcgi_id in 1..=REQUESTS_PER_CONNECTION {
-        let id = next_id.fetch_add(1, Ordering::Relaxed);
-        let (id_text, function) = (format!("{id:016x}"), format!("{:016x}", id.rotate_left(32)));
-        let fields = RequestFields {
-            function: &function,
-            timeout_ms: "1000",
-            body: b"",
-            ..request_fields("/do/again", &id_text)
-        };
-        out.extend(Frontend::encode_request(fastcgi_id, &fields));
+        encode_request(
+            kind,
+            fastcgi_id,
+            next_id.fetch_add(1, Ordering::Relaxed),
+            &mut out,
+        );
     }
-    match kind {
-        FloodKind::Withdrawn => out.extend((1..=REQUESTS_PER_CONNECTION).flat_map(Frontend::encode_abort)),
+    if kind == FloodKind::Withdrawn {
+        out.extend((1..=REQUESTS_PER_CONNECTION).flat_map(Frontend::encode_abort));
     }
     out
 }
+
+fn encode_request(kind: FloodKind, fastcgi_id: u16, id: u64, out: &mut Vec<u8>) {
+    let (id_text, function) = (format!("{id:016x}"), format!("{:016x}", id.rotate_left(32)));
+    let large_body = [b'x'; MAX_BODY_BYTES];
+    let fields = RequestFields {
+        function: &function,
+        timeout_ms: "1000",
+        body: match kind {
+            FloodKind::UnfinishedBodies => &large_body,
+            FloodKind::Withdrawn | FloodKind::UnfinishedParams => b"",
+        },
+        ..request_fields("/do/again", &id_text)
+    };
+    let whole = Frontend::encode_request(fastcgi_id, &fields);
+    match kind {
+        FloodKind::Withdrawn => out.extend(whole),
+        FloodKind::UnfinishedBodies => out.extend(&whole[..whole.len() - fastcgi::HEADER_LENGTH]),
+        FloodKind::UnfinishedParams => {
+            // The last two records are empty: the ends of the parameters and of the body.
+            out.extend(&whole[..whole.len() - 2 * fastcgi::HEADER_LENGTH]);
+            let mut pairs = Vec::new();
+            write_pair(&mut pairs, b"HTTP_X_UNKNOWN", &[b'x'; LONG_PARAMS_BYTES]);
+            write_record(out, fastcgi::PARAMS, fastcgi_id, &pairs);
+        }
+    }
+}
--- a/crates/quartzdrift-lab/tests/soak/main.rs
+++ b/crates/quartzdrift-lab/tests/soak/main.rs
@@ -66,6 +66,14 @@
     assert_served_beside_flood(FloodKind::Withdrawn, 8, 32, Duration::from_secs(14));
 }
 
+/// Guards against partial requests that are bounded for each client and not over all clients.
+#[test]
+fn partial_requests_of_many_clients_do_not_exceed_the_memory_limit() {
+    for kind in [FloodKind::UnfinishedBodies, FloodKind::UnfinishedParams] {
+        assert_served_beside_flood(kind, 160, 32, Duration::from_secs(3));
+    }
+}
+
 #[test]
 fn seeded_runs_break_no_rule() {
     let seeds: Vec<u64> = seeds::from_environment("SOAK_SEEDS", CI_SEEDS).collect();
--- a/crates/quartzdrift-platform/src/config.rs
+++ b/crates/quartzdrift-platform/src/config.rs
@@ -7,6 +7,8 @@
 
 /// Limit of open file descriptors if the configuration states none.
 const DEFAULT_MAX_DESCRIPTORS: usize = 1024;
+/// Memory limit if the configuration states none, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// Maximum size of a configuration, in bytes; the worker list of the largest cluster takes far less.
 pub const MAX_BYTES: u64 = 64 << 20;
 
@@ -50,6 +52,8 @@
     pub seed: u64,
     /// File descriptors that the process may have open.
     pub max_descriptors: usize,
+    /// Private memory that the process may use, in megabytes.
+    pub memory_mb: f64,
     /// Address of the coordinator whose events are followed.
     pub coordinator: SocketAddr,
     /// Events of the coordinator up to the time when the configuration was written.
@@ -92,14 +96,21 @@
     let file: ConfigFile = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
     let mut settings = crate::settings::read(&file.settings)?;
     settings.rules.endpoint_lease = Some(ENDPOINT_LEASE);
+    let limits = file.limits.as_ref();
+    let memory_mb = limits
+        .and_then(|limits| limits.memory_mb)
+        .unwrap_or(DEFAULT_MEMORY_MB);
+    if !(memory_mb.is_finite() && memory_mb > 0.0) {
+        return Err(format!("limits.memory_mb must be above 0, it is {memory_mb}"));
+    }
     Ok(Config {
         name: file.name,
         listen: file.listen,
         seed: seed(&file.seed),
-        max_descriptors: file
-            .limits
+        max_descriptors: limits
             .and_then(|limits| limits.sockets)
             .unwrap_or(DEFAULT_MAX_DESCRIPTORS),
+        memory_mb,
         coordinator: file.coordinator,
         known_events: file.known,
         settings,
--- a/crates/quartzdrift-platform/src/lib.rs
+++ b/crates/quartzdrift-platform/src/lib.rs
@@ -8,13 +8,14 @@
 //! * [`config`], [`settings`]: parse the configuration and the settings of a scheduler.
 //! * [`coordinator`]: applies the coordinator's events to the list of workers.
 //! * [`budget`]: divides the file descriptors between connections to clients and to workers.
+//! * [`memory_budget`]: bounds the bytes that are held for clients.
 pub mod attempt_outcome;
 pub mod budget;
 pub mod config;
 pub mod connection_choice;
 pub mod coordinator;
 pub mod frame;
-
+pub mod memory_budget;
 pub mod report;
 pub mod request_fields;
 pub mod settings;
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts clients, and closes idle ones to make room for them.
 use super::client_connection::{Client, RECEIVE_TIMEOUT, is_evictable};
+use super::memory::RequestBytes;
 use super::{Node, Peer};
 use quartzdrift_http::sockets::SocketId;
 use std::time::Duration;
@@ -27,7 +28,9 @@
             // `accept` relies on closing an idle client. If data from that client has just arrived, the
             // client is kept, and the number of clients exceeds the limit by one for a while.
             self.make_room_for_client();
-            if let Ok(id) = self.sockets.insert(stream, Peer::Client(Client::new(arrived))) {
+            let request_bytes = RequestBytes::new(self.unowned_bytes.clone());
+            let client = Client::new(arrived, request_bytes);
+            if let Ok(id) = self.sockets.insert(stream, Peer::Client(client)) {
                 self.client_count += 1;
                 self.sockets.set_deadline(id, Some(RECEIVE_TIMEOUT));
             }
--- a/crates/quartzdrift/src/platform/client_connection.rs
+++ b/crates/quartzdrift/src/platform/client_connection.rs
@@ -1,10 +1,12 @@
 //! Clients' FastCGI connections: reading requests, keeping deadlines, and closing a connection once its last
 //! answer is sent.
+use super::memory::RequestBytes;
 use super::{Node, Peer};
 use quartzdrift_fastcgi::{self as fastcgi, Event, InvalidRequestReason, Responder};
 use quartzdrift_http::sockets::{Socket, SocketId, Sockets};
 use quartzdrift_scheduler::interface::RequestId;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Limits of the platform's protocol. The limit on parameters is far above the size that requests need.
@@ -51,18 +53,24 @@
     /// Earliest time at which the first unread byte in the system's buffer may have arrived; `None` if the
     /// buffer was empty.
     unread_since: Option<Instant>,
+    /// Bytes that the memory budget counts for the client.
+    pub(super) accounted_bytes: usize,
+    /// Bytes of its open requests.
+    pub(super) request_bytes: Rc<RequestBytes>,
 }
 
 impl Client {
     /// The state of an accepted client, which may have connected and sent data as early as `arrived`. Its
     /// first request is due within [`RECEIVE_TIMEOUT`].
-    pub(super) fn new(arrived: Instant) -> Client {
+    pub(super) fn new(arrived: Instant, request_bytes: Rc<RequestBytes>) -> Client {
         Client {
             responder: Responder::new(LIMITS),
             requests: BTreeMap::new(),
             deadline: DeadlineReason::FirstRequest,
             partial_request: None,
             unread_since: Some(arrived),
+            accounted_bytes: 0,
+            request_bytes,
         }
     }
 }
@@ -108,6 +116,7 @@
         self.sockets.flush_socket(id);
         self.sockets.read(id);
         let earliest_arrival = self.loop_delay.earliest_arrival();
+        let max_partial_bytes = self.partial_request_limit(id);
         let Some(socket) = self.sockets.get_mut(id) else {
             return;
         };
@@ -119,23 +128,48 @@
         let arrived = client.unread_since.unwrap_or(earliest_arrival);
         client.unread_since = has_more.then_some(arrived);
         if client.deadline == DeadlineReason::Closing {
-            let unread = socket.input.len();
-            socket.consume(unread);
-            self.counts.discarded_bytes += unread as u64;
-            if has_ended {
-                self.close_client(id);
-            }
-            return;
+            return self.discard_input(id);
         }
         let mut output = Vec::new();
         let mut events = Vec::new();
-        let read = client.responder.read(&socket.input, &mut output, &mut events);
+        let read = client
+            .responder
+            .read(&socket.input, max_partial_bytes, &mut output, &mut events);
         if let Ok(consumed_bytes) = read {
             socket.consume(consumed_bytes);
         }
         if !output.is_empty() {
             self.write(id, &output);
         }
+        self.handle_events(id, events, arrived);
+        match read {
+            Err(error) => {
+                tracing::debug!(%error, "client connection closed: protocol error");
+                self.drop_client(id);
+            }
+            Ok(_) if has_ended => self.close_client(id),
+            Ok(_) => {
+                self.update_held_bytes(id);
+                self.update_client_deadline(id);
+            }
+        }
+    }
+
+    /// Discards the input of a connection that is about to be closed, and closes it if the client has.
+    fn discard_input(&mut self, id: SocketId) {
+        let Some(socket) = self.sockets.get_mut(id) else {
+            return;
+        };
+        let unread = socket.input.len();
+        socket.consume(unread);
+        self.counts.discarded_bytes += unread as u64;
+        if socket.is_read_closed() {
+            self.close_client(id);
+        }
+    }
+
+    /// Counts and handles the FastCGI events of a client.
+    fn handle_events(&mut self, id: SocketId, events: Vec<Event>, arrived: Instant) {
         let is_request = |event: &&Event| !matches!(event, Event::Aborted { .. });
         self.counts.received += events.iter().filter(is_request).count() as u64;
         for event in events {
@@ -146,14 +180,6 @@
             }
             self.handle_event(id, event, arrived);
         }
-        match read {
-            Err(error) => {
-                tracing::debug!(%error, "client connection closed: protocol error");
-                self.drop_client(id);
-            }
-            Ok(_) if has_ended => self.close_client(id),
-            Ok(_) => self.update_client_deadline(id),
-        }
     }
 
     /// Handles a FastCGI event of a client. `arrived` is the earliest time at which its bytes may have
@@ -173,6 +199,10 @@
                 request_id,
                 reason: InvalidRequestReason::TooLarge,
             } => self.respond(id, request_id, 413, "too large", None),
+            Event::InvalidRequest {
+                request_id,
+                reason: InvalidRequestReason::NoMemory,
+            } => self.refuse_without_memory(id, request_id),
             Event::Aborted { request_id } => {
                 let client = find_client(&mut self.sockets, id);
                 if let Some(request) = client.and_then(|client| client.requests.remove(&request_id)) {
@@ -301,6 +331,7 @@
             return;
         };
         self.client_count -= 1;
+        self.release_held_bytes(client.accounted_bytes, &client.request_bytes);
         client
             .requests
             .into_values()
--- a/crates/quartzdrift/src/platform/counts.rs
+++ b/crates/quartzdrift/src/platform/counts.rs
@@ -111,6 +111,10 @@
     pub invalid: u64,
     /// Client connections that were closed because of a protocol error, a timeout or the client limit.
     pub dropped: u64,
+    /// Requests that were refused because the memory for clients was full.
+    pub refused_without_memory: u64,
+    /// Client connections that were closed because their unread responses filled the memory for clients.
+    pub closed_without_memory: u64,
     /// Attempts that were started.
     pub attempts: u64,
     /// Attempts that a worker rejected because it was at capacity; they never ran.
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -8,6 +8,7 @@
 //! * `workers`, `connections`, `worker_connection`: the table of workers and their connections.
 //! * `commands`, `answers`: sending attempts over connections and reading their results.
 //! * `coordinator`: following the list of workers.
+//! * `memory`: the budget of the memory that is held for clients.
 //! * `shutdown`, `closing`: the phases of a graceful shutdown, and closing clients' connections during it.
 //! * `counts`, `notices`: counts for the log, and log lines on the endpoint list.
 mod accept;
@@ -18,6 +19,7 @@
 mod connections;
 mod coordinator;
 mod counts;
+mod memory;
 mod node;
 mod notices;
 mod requests;
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -3,6 +3,7 @@
 use super::client_connection::Client;
 use super::coordinator::Coordinator;
 use super::counts::Counts;
+use super::memory::{MemoryLog, RequestCharge};
 use super::notices::NoticeRateLimit;
 use super::shutdown::{Shutdown, ShutdownStep};
 use super::worker_connection::{Command, WorkerConnection};
@@ -17,7 +18,9 @@
 use quartzdrift_lifecycle::{Output, RequestTable};
 use quartzdrift_platform::budget::ConnectionBudget;
 use quartzdrift_platform::config::Config;
+use quartzdrift_platform::memory_budget::MemoryBudget;
 use quartzdrift_scheduler::interface::{EndpointListKind, Outcome, RequestId};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -53,6 +56,8 @@
     /// Key by which workers recognize a repeat of the request.
     pub(super) idempotency_key: Option<String>,
     pub(super) body: Vec<u8>,
+    /// Counts the request in the memory budget as long as the body is kept.
+    pub(super) _charge: RequestCharge,
 }
 
 /// One scheduler on one event loop.
@@ -67,6 +72,10 @@
     pub(super) http: Http<Node>,
     pub(super) request_table: RequestTable<Rc<RequestContext>>,
     pub(super) budget: ConnectionBudget,
+    pub(super) memory: MemoryBudget,
+    pub(super) memory_log: MemoryLog,
+    /// Bytes of requests in flight whose clients have disconnected.
+    pub(super) unowned_bytes: Rc<Cell<usize>>,
     /// Open connections of clients.
     pub(super) client_count: usize,
     /// Earliest time at which a connection that still waits to be accepted may have arrived.
@@ -166,6 +175,7 @@
             connections_per_server: 4,
             ..Limits::default()
         };
+        let budget = ConnectionBudget::divide(config.max_descriptors);
         let mut node = Node {
             config_path: path,
             clock: Clock::start(),
@@ -173,7 +183,10 @@
             sockets: Sockets::new(handle.clone(), |node| &mut node.sockets),
             http: Http::new(handle, limits),
             request_table: RequestTable::new(&config.settings, config.seed),
-            budget: ConnectionBudget::divide(config.max_descriptors),
+            budget,
+            memory: MemoryBudget::divide(config.memory_mb, budget.clients),
+            memory_log: MemoryLog::default(),
+            unowned_bytes: Rc::default(),
             client_count: 0,
             unaccepted_since: None,
             flushing_clients: Vec::new(),
@@ -251,6 +264,7 @@
         self.process_request_deadlines(now);
         self.maintain_poll(now);
         self.log_table_sizes(now);
+        self.log_memory_state(now);
         self.flush();
         self.close_flushed_clients();
     }
@@ -367,6 +381,7 @@
             cache_entries = scheduler.cache_entries,
             "scheduler table sizes"
         );
+        self.log_held_bytes();
     }
 
     /// Carries out the outputs of the request table until none are left.
--- a/crates/quartzdrift/src/platform/requests.rs
+++ b/crates/quartzdrift/src/platform/requests.rs
@@ -15,8 +15,8 @@
 /// clients better. After that it reports that it is ready, since the platform counts a longer start as
 /// failed.
 const MAX_UNREADY_START: Duration = Duration::from_secs(5);
-/// Retry delay that clients receive when the request table is full.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry delay that clients receive when the request table or the memory for clients is full.
+pub(super) const FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Reads an optional parameter: `None` if it is missing, and an error if it is not text or given twice.
 fn optional_param<'a>(
@@ -94,6 +94,9 @@
         if let Some(&open_request) = self.open_by_client_id.get(&request.id) {
             return self.reject_duplicate_id(socket, request_id, open_request);
         }
+        let Some(charge) = self.charge_request(socket, body.len()) else {
+            return self.refuse_without_memory(socket, request_id);
+        };
         let context = RequestContext {
             client_request_id: request.id,
             client: socket,
@@ -101,6 +104,7 @@
             request_class: request.request_class,
             idempotency_key: request.idempotency_key.map(str::to_owned),
             body,
+            _charge: charge,
         };
         let now = self.now();
         let deadline = self.clock.time_at(arrived) + request.time_remaining;
--- a/crates/quartzdrift/src/platform/responses.rs
+++ b/crates/quartzdrift/src/platform/responses.rs
@@ -64,6 +64,7 @@
         let mut output = Vec::with_capacity(body.len() + HEAD_CAPACITY);
         let outcome = client.responder.respond(request_id, &response, &mut output);
         self.write(socket, &output);
+        self.update_held_bytes(socket);
         match outcome {
             fastcgi::ResponseOutcome::CloseConnection => self.close_when_flushed(socket),
             // No further event may come from a client that does not read its answers, so its deadline is set
