run: every part of a turn is bounded; a command waits for its own client only

What callers saw: beside clients that send without a pause nobody got an answer: no command was sent, no connection accepted, no deadline answered. Cause: the flush sent nothing if the last check of the sockets was over 40 ms ago, and read all clients until it was not. Under a flood reading all takes longer, so the loop did not end. The check is needed for a command and its own client only; it held back all output. Turns and the closing phase of a stop read all ready clients first, too. Change: each part of a turn has a maximum time and happens in every turn. Clients with a backlog come last. Responses are sent in any case; a command whose client has unread input is withheld until the client was read empty. Frames carry the time of their remaining time and are rewritten when it is old. The unit test of LoopDelay::sockets_checked went with that method, which marked all clients as checked; the soak judges the same limit (no attempt 0.1 s after an abort) beside floods.

--- a/crates/quartzdrift-http/src/socket.rs
+++ b/crates/quartzdrift-http/src/socket.rs
@@ -186,6 +186,8 @@
             self.is_readable = false;
             return;
         }
+        // The system may hold more than the buffer, even if the event loop has not reported it.
+        self.is_readable = true;
     }
 
     /// Sends output until the system accepts no more or `deadline` passes. Returns `false` if the deadline
--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Sets the maximum number of bytes that one [`Sockets::read`] reads.
+    #[must_use]
+    pub fn with_max_read(mut self, bytes: usize) -> Sockets<S, T> {
+        self.read_buffer = vec![0; bytes];
+        self
+    }
+
     /// Number of sockets created so far.
     pub fn opened_count(&self) -> u64 {
         self.opened_count
@@ -295,12 +302,23 @@
         ready
     }
 
+    /// Puts sockets at the front of the ready queue, in their order, unless they are in it already.
+    pub fn queue_ready_first(&mut self, ids: VecDeque<SocketId>) {
+        for id in ids.into_iter().rev() {
+            if let Some(socket) = find_socket(&mut self.sockets, id).filter(|socket| !socket.is_ready_queued)
+            {
+                socket.is_ready_queued = true;
+                self.ready_queue.push_front(id);
+            }
+        }
+    }
+
     /// Whether a socket is in the ready queue or [`Sockets::accept`] would call accept(2).
     pub fn is_ready(&self) -> bool {
         !self.ready_queue.is_empty() || self.are_listeners_ready
     }
 
-    /// Reads at most `MAX_READ_BYTES` into the socket's input. If more input may wait, the socket stays in
+    /// Reads at most `MAX_READ_BYTES`, or as many as were set, into the socket's input. If more input may wait, the socket stays in
     /// the ready queue.
     pub fn read(&mut self, id: SocketId) {
         let Some(socket) = find_socket(&mut self.sockets, id) else {
@@ -342,14 +360,14 @@
 
     /// Sends the output of all sockets in the flush queue, as far as the system accepts it.
     pub fn flush(&mut self) {
-        while let Some(id) = self.next_to_flush() {
+        while let Some(&id) = self.flush_queue.front() {
             self.flush_socket(id);
         }
     }
 
-    /// Returns the first socket in the flush queue, whose output has waited longest for a flush.
-    pub fn next_to_flush(&self) -> Option<SocketId> {
-        self.flush_queue.front().copied()
+    /// Returns the sockets in the flush queue, those first whose output has waited longest for a flush.
+    pub fn queued_for_flush(&self) -> Vec<SocketId> {
+        self.flush_queue.iter().copied().collect()
     }
 
     /// Sends the output of one socket as far as the system accepts it.
--- a/crates/quartzdrift-lab/tests/soak/run.rs
+++ b/crates/quartzdrift-lab/tests/soak/run.rs
@@ -1,7 +1,7 @@
 //! A run of a scenario: a scheduler with workers and clients, signals and pauses, and the stop by SIGTERM.
 use super::client::{self, Client, RequestOutcome, RequestRecord};
 use super::evaluation::{self, Observations};
-use super::flood::{Flood, RunningFlood};
+use super::flood::{Flood, FloodKind, RunningFlood};
 use super::memory::MemoryWatch;
 use super::stalls::StallMeter;
 use super::worker::{self, AttemptRecord, WorkerThread};
@@ -128,6 +128,20 @@
     }
 }
 
+impl Scenario {
+    /// Generates the scenario of a seed beside a flood.
+    pub fn random_beside_flood(seed: u64) -> Scenario {
+        let mut random = StdRng::seed_from_u64(seed);
+        let kind = FloodKind::ALL[random.random_range(0..FloodKind::ALL.len())];
+        let clients = random.random_range(20..=160);
+        let memory_mb = [32, 48][random.random_range(0..2)];
+        Scenario {
+            flood: Some((Flood { kind, clients }, memory_mb)),
+            ..Scenario::random(seed)
+        }
+    }
+}
+
 fn random_step(random: &mut StdRng, pauses: bool) -> ScenarioStep {
     match random.random_range(0..if pauses { 4 } else { 2 }) {
         0 => ScenarioStep::Signal("-HUP"),
--- a/crates/quartzdrift-platform/src/memory_budget.rs
+++ b/crates/quartzdrift-platform/src/memory_budget.rs
@@ -7,7 +7,7 @@
 /// Bytes in a megabyte of the configured limit.
 const BYTES_PER_MB: f64 = (1 << 20) as f64;
 /// Share of the memory limit for the data of clients.
-const CLIENT_SHARE: f64 = 0.5;
+const CLIENT_SHARE: f64 = 0.4;
 /// Share of the clients' part that is guaranteed to them in equal parts.
 const GUARANTEED_SHARE: f64 = 0.5;
 
--- a/crates/quartzdrift/src/loop_delay.rs
+++ b/crates/quartzdrift/src/loop_delay.rs
@@ -42,8 +42,6 @@
     earliest_arrival: Instant,
     /// The last socket check that the waits prove.
     last_check_in_wait: Instant,
-    /// The last socket check that the loop made within a turn.
-    last_check_in_turn: Instant,
 }
 
 impl LoopDelay {
@@ -52,7 +50,6 @@
         LoopDelay {
             earliest_arrival: now,
             last_check_in_wait: now,
-            last_check_in_turn: now,
         }
     }
 
@@ -67,14 +64,9 @@
         self.earliest_arrival
     }
 
-    /// Records that the loop checked its sockets at `now`, within a turn.
-    pub(crate) fn sockets_checked(&mut self, now: Instant) {
-        self.last_check_in_turn = now;
-    }
-
-    /// Time of the last socket check, in a wait or within a turn.
+    /// Time of the last socket check that the waits prove.
     pub(crate) fn last_socket_check(&self) -> Instant {
-        self.last_check_in_wait.max(self.last_check_in_turn)
+        self.last_check_in_wait
     }
 }
 
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -76,20 +76,4 @@
         }
         has_arrived
     }
-
-    /// The sockets of all connected clients.
-    pub(super) fn client_sockets(&self) -> Vec<SocketId> {
-        let clients = self.sockets.iter();
-        clients
-            .filter(|(_, socket)| matches!(socket.state, Peer::Client(_)))
-            .map(|(id, _)| id)
-            .collect()
-    }
-
-    /// Reads and processes unreported data from all clients.
-    pub(super) fn read_all_clients(&mut self) {
-        for id in self.client_sockets() {
-            self.read_pending_input(id);
-        }
-    }
 }
--- a/crates/quartzdrift/src/platform/client_connection.rs
+++ b/crates/quartzdrift/src/platform/client_connection.rs
@@ -53,6 +53,8 @@
     /// Earliest time at which the first unread byte in the system's buffer may have arrived; `None` if the
     /// buffer was empty.
     unread_since: Option<Instant>,
+    /// Whether the last read left input in the system's buffer.
+    pub(super) is_backlogged: bool,
     /// Bytes that the memory budget counts for the client.
     pub(super) accounted_bytes: usize,
     /// Bytes of its open requests.
@@ -69,6 +71,7 @@
             deadline: DeadlineReason::FirstRequest,
             partial_request: None,
             unread_since: Some(arrived),
+            is_backlogged: false,
             accounted_bytes: 0,
             request_bytes,
         }
@@ -111,6 +114,16 @@
 }
 
 impl Node {
+    /// Records when the input of clients that are not read in this turn may have arrived.
+    pub(super) fn mark_unread_clients<'a>(&mut self, clients: impl Iterator<Item = &'a SocketId>) {
+        let earliest_arrival = self.loop_delay.earliest_arrival();
+        for id in clients {
+            if let Some(client) = find_client(&mut self.sockets, *id) {
+                client.unread_since.get_or_insert(earliest_arrival);
+            }
+        }
+    }
+
     /// Processes a client's connection whose socket is ready.
     pub(super) fn drive_client(&mut self, id: SocketId) {
         self.sockets.flush_socket(id);
@@ -127,6 +140,7 @@
         };
         let arrived = client.unread_since.unwrap_or(earliest_arrival);
         client.unread_since = has_more.then_some(arrived);
+        client.is_backlogged = has_more;
         if client.deadline == DeadlineReason::Closing {
             return self.discard_input(id);
         }
--- a/crates/quartzdrift/src/platform/closing.rs
+++ b/crates/quartzdrift/src/platform/closing.rs
@@ -4,13 +4,19 @@
 //! A connection is closed only if a last read found no data, every request that was read is answered, and the
 //! answers have been sent. A request that a client sends while its connection is being closed is never read;
 //! the client's system reports a connection reset, so the client can safely send the request again.
-use super::Node;
 use super::client_connection::find_client;
+use super::{Node, Peer};
 use quartzdrift_http::sockets::SocketId;
+use std::time::{Duration, Instant};
 
 /// Rounds of answering requests that arrived last, before the process ends. The limit cuts off clients that
 /// keep sending.
 const MAX_LAST_ROUNDS: usize = 8;
+/// Time after which no further round begins.
+const MAX_LAST_ROUNDS_TIME: Duration = Duration::from_millis(30);
+/// Time in a turn after which no further client is read to close its connection. The others follow in the
+/// next turns.
+const MAX_CLOSING_TIME: Duration = Duration::from_millis(10);
 /// Consecutive reads of one connection: the second read confirms that nothing followed the requests of the
 /// first one, which are answered by then.
 const MAX_READS_PER_CLIENT: usize = 2;
@@ -21,18 +27,39 @@
         if self.sockets.is_listening() {
             self.accept_last_clients();
         }
-        for id in self.client_sockets() {
+        let end = Instant::now() + MAX_CLOSING_TIME;
+        for id in self.clients_to_close() {
             self.close_client_if_idle(id);
+            if Instant::now() >= end {
+                break;
+            }
         }
         self.flush();
     }
 
+    /// The clients in the order in which they are to be closed: those with a backlog last, and of the others
+    /// those first that follow the one that was looked at last.
+    fn clients_to_close(&self) -> Vec<SocketId> {
+        let last = self.last_closing_client;
+        let clients = self
+            .sockets
+            .iter()
+            .filter_map(|(id, socket)| match &socket.state {
+                Peer::Client(client) => Some((client.is_backlogged, Some(id) <= last, id)),
+                Peer::WorkerConnection(_) => None,
+            });
+        let mut clients: Vec<_> = clients.collect();
+        clients.sort_unstable();
+        clients.into_iter().map(|(.., id)| id).collect()
+    }
+
     /// Answers the requests that arrive until the process ends. Every earlier request is answered by then,
     /// and the request table rejects new ones at once.
     pub(super) fn answer_last_requests(&mut self) {
+        let end = Instant::now() + MAX_LAST_ROUNDS_TIME;
         for _ in 0..MAX_LAST_ROUNDS {
             self.close_idle_clients();
-            if self.client_count == 0 {
+            if self.client_count == 0 || Instant::now() >= end {
                 return;
             }
         }
@@ -50,6 +77,7 @@
     }
 
     fn close_client_if_idle(&mut self, id: SocketId) {
+        self.last_closing_client = Some(id);
         for _ in 0..MAX_READS_PER_CLIENT {
             let has_arrived = self.read_pending_input(id);
             self.sockets.flush_socket(id);
--- a/crates/quartzdrift/src/platform/commands.rs
+++ b/crates/quartzdrift/src/platform/commands.rs
@@ -125,6 +125,7 @@
             fields.as_bytes(),
             &context.body,
         );
+        command.written_at = now;
         command.frame_span = self.sockets.get(id).map(|socket| FrameSpan {
             from,
             to: socket.write_position(),
@@ -134,63 +135,9 @@
         }
     }
 
-    /// Rewrites each unsent command with its current remaining time.
-    pub(super) fn rewrite_unsent_commands(&mut self) {
-        let now = self.now();
-        let unsent = self
-            .sockets
-            .iter()
-            .filter(|(_, socket)| socket.unsent_bytes() > 0);
-        let sockets: Vec<SocketId> = unsent.map(|(id, _)| id).collect();
-        for id in sockets {
-            for (request, attempt) in self.unsent_commands(id) {
-                self.rewrite_command(id, request, attempt, now);
-            }
-        }
-    }
-
-    /// The attempts whose frames are in a connection's output and completely unsent, in the order of the
-    /// frames.
-    fn unsent_commands(&self, id: SocketId) -> Vec<(RequestId, u32)> {
-        let Some(socket) = self.sockets.get(id).filter(|socket| !socket.is_broken()) else {
-            return Vec::new();
-        };
-        let Peer::WorkerConnection(connection) = &socket.state else {
-            return Vec::new();
-        };
-        let sent = socket.sent_position();
-        let spans = connection.commands.iter().filter_map(|command| {
-            let span = command.frame_span.filter(|span| span.from >= sent)?;
-            Some((span.from, command.request, command.attempt))
-        });
-        let mut waiting: Vec<_> = spans.collect();
-        waiting.sort_unstable();
-        waiting
-            .into_iter()
-            .map(|(_, request, attempt)| (request, attempt))
-            .collect()
-    }
-
-    /// Replaces the unsent frame of a command by one with the current remaining time.
-    fn rewrite_command(&mut self, id: SocketId, request: RequestId, attempt: u32, now: Duration) {
-        let Some(connection) = find_worker_connection(&mut self.sockets, id) else {
-            return;
-        };
-        let Some(index) = connection.position_of_attempt(request, attempt) else {
-            return;
-        };
-        let mut command = connection.commands.swap_remove(index);
-        if self.remove_frame(id, &command) {
-            self.write_command(id, &mut command, now);
-        }
-        if let Some(connection) = find_worker_connection(&mut self.sockets, id) {
-            connection.commands.push(command);
-        }
-    }
-
     /// Removes the frame of a command from its connection's output; returns whether it was still unsent. The
     /// caller has already removed the command from the connection.
-    fn remove_frame(&mut self, id: SocketId, command: &Command) -> bool {
+    pub(super) fn remove_frame(&mut self, id: SocketId, command: &Command) -> bool {
         let Some(span) = command.frame_span else {
             return false;
         };
--- a/crates/quartzdrift/src/platform/connections.rs
+++ b/crates/quartzdrift/src/platform/connections.rs
@@ -281,7 +281,7 @@
                 None => return,
             }
         }
-        self.flush_in_time(id);
+        self.flush_commands(id);
         self.sockets.read(id);
         self.read_answers(id);
     }
--- a/crates/quartzdrift/src/platform/counts.rs
+++ b/crates/quartzdrift/src/platform/counts.rs
@@ -117,6 +117,10 @@
     pub closed_without_memory: u64,
     /// Attempts that were started.
     pub attempts: u64,
+    /// Reads of a client's connection just before one of its commands was sent.
+    pub client_checks: u64,
+    /// Times that a command was withheld because its client had unread input.
+    pub withheld_commands: u64,
     /// Attempts that a worker rejected because it was at capacity; they never ran.
     pub turned_away: u64,
     /// Polls of the coordinator, by result.
--- a/crates/quartzdrift/src/platform/memory.rs
+++ b/crates/quartzdrift/src/platform/memory.rs
@@ -208,7 +208,13 @@
         let held = sockets.fold(HeldBytes::default(), |sum, (_, socket)| {
             sum.add(HeldBytes::of(socket))
         });
+        let blocked = self
+            .sockets
+            .iter()
+            .filter_map(|(_, socket)| socket.write_blocked_since());
+        let oldest_unsent = blocked.min().map(|since| since.elapsed());
         tracing::debug!(
+            ?oldest_unsent,
             limit = self.memory.limit(),
             used = self.memory.used(),
             highest = self.memory.highest_used(),
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -7,10 +7,11 @@
 //! * `requests`, `responses`: admitting requests and sending final answers.
 //! * `workers`, `connections`, `worker_connection`: the table of workers and their connections.
 //! * `commands`, `answers`: sending attempts over connections and reading their results.
+//! * `flush`: sending output, and commands only of clients without unread input.
 //! * `coordinator`: following the list of workers.
 //! * `memory`: the budget of the memory that is held for clients.
 //! * `shutdown`, `closing`: the phases of a graceful shutdown, and closing clients' connections during it.
-//! * `counts`, `notices`: counts for the log, and log lines on the endpoint list.
+//! * `counts`, `notices`, `turn_times`: counts and times for the log, and log lines on the endpoint list.
 mod accept;
 mod answers;
 mod client_connection;
@@ -19,6 +20,7 @@
 mod connections;
 mod coordinator;
 mod counts;
+mod flush;
 mod memory;
 mod node;
 mod notices;
@@ -26,6 +28,7 @@
 mod responses;
 pub mod run;
 mod shutdown;
+mod turn_times;
 mod worker_connection;
 mod workers;
 
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -6,6 +6,7 @@
 use super::memory::{MemoryLog, RequestCharge};
 use super::notices::NoticeRateLimit;
 use super::shutdown::{Shutdown, ShutdownStep};
+use super::turn_times::{TurnTimer, TurnTimes};
 use super::worker_connection::{Command, WorkerConnection};
 use super::workers::Worker;
 use super::{commands, run};
@@ -21,7 +22,7 @@
 use quartzdrift_platform::memory_budget::MemoryBudget;
 use quartzdrift_scheduler::interface::{EndpointListKind, Outcome, RequestId};
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,10 +30,23 @@
 /// Interval between two debug lines with the sizes of the tables.
 const TABLE_SIZES_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum time since the last socket check with which data is still sent. After a longer time, the loop
-/// reads its clients first: no attempt may start for a client that has disconnected since, and the remaining
-/// time of the other clients' requests has become shorter.
-const MAX_SOCKET_CHECK_AGE: Duration = Duration::from_millis(40);
+/// Time in a turn after which no further ready client is read. The others are read in the next turns, before
+/// those that were read in this one.
+const MAX_CLIENTS_TIME: Duration = Duration::from_millis(5);
+/// The same for clients that send without a pause. A short time keeps the turns of all others short.
+const MAX_BACKLOG_TIME: Duration = Duration::from_millis(1);
+/// Time in a turn after which no further ready connection to a worker is processed.
+const MAX_WORKERS_TIME: Duration = Duration::from_millis(10);
+/// Maximum bytes that are read from one socket at a time: several requests of a usual size.
+const MAX_READ_BYTES: usize = 8 << 10;
+
+/// The ready sockets of a turn, each queue in the order in which they became ready.
+#[derive(Default)]
+struct ReadySockets {
+    clients: VecDeque<SocketId>,
+    backlogged_clients: VecDeque<SocketId>,
+    connections: VecDeque<SocketId>,
+}
 
 /// State of a socket, by the kind of its peer.
 pub(crate) enum Peer {
@@ -82,6 +96,12 @@
     pub(super) unaccepted_since: Option<Instant>,
     /// Clients whose connections are closed once their output is flushed.
     pub(super) flushing_clients: Vec<SocketId>,
+    /// Time until which a flush reads clients with unread input before it sends their commands.
+    pub(super) verify_until: Instant,
+    /// The client whose connection was looked at last to close it in a shutdown.
+    pub(super) last_closing_client: Option<SocketId>,
+    /// Connections to workers with commands whose clients have unread input.
+    pub(super) withheld_connections: BTreeSet<SocketId>,
     /// Open connections to workers.
     pub(super) worker_connection_count: usize,
     /// Listed workers by uid.
@@ -99,6 +119,7 @@
     pub(super) shutdown: Option<Shutdown>,
     /// When the sizes of the tables were last logged.
     table_sizes_logged_at: Duration,
+    turn_times: TurnTimes,
     /// Counts since the start.
     pub counts: Counts,
 }
@@ -136,6 +157,7 @@
                     send_by,
                     lost_connections: 0,
                     frame_span: None,
+                    written_at: Duration::ZERO,
                 };
                 self.start_attempt(&worker, command);
             }
@@ -180,7 +202,7 @@
             config_path: path,
             clock: Clock::start(),
             loop_delay: LoopDelay::start(Instant::now()),
-            sockets: Sockets::new(handle.clone(), |node| &mut node.sockets),
+            sockets: Sockets::new(handle.clone(), |node| &mut node.sockets).with_max_read(MAX_READ_BYTES),
             http: Http::new(handle, limits),
             request_table: RequestTable::new(&config.settings, config.seed),
             budget,
@@ -190,6 +212,9 @@
             client_count: 0,
             unaccepted_since: None,
             flushing_clients: Vec::new(),
+            verify_until: Instant::now(),
+            last_closing_client: None,
+            withheld_connections: BTreeSet::new(),
             worker_connection_count: 0,
             workers: HashMap::new(),
             attempts: AttemptCarriers::default(),
@@ -200,6 +225,7 @@
             notice_limit: NoticeRateLimit::default(),
             shutdown: None,
             table_sizes_logged_at: Duration::ZERO,
+            turn_times: TurnTimes::default(),
             counts: Counts::default(),
             config,
         };
@@ -249,12 +275,16 @@
             .time_until_next(deadlines, [self.sockets.next_due(), self.http.next_deadline()])
     }
 
-    /// Processes the events of a wait, and every deadline that has passed.
+    /// Processes the events of a wait, and every deadline that has passed. Each part takes a bounded time,
+    /// whatever the peers send: what is left is processed in the next turns, in rotation.
     pub fn turn(&mut self, wait: EventWait) {
         self.loop_delay.wait_ended(Instant::now(), wait);
+        let mut timer = TurnTimer::start();
         self.process_poll_results();
         self.accept_clients();
+        timer.end_part(&mut self.turn_times.accept);
         self.process_ready_sockets();
+        timer.end_part(&mut self.turn_times.sockets);
         self.process_overdue_sockets();
         let now = self.now();
         // This runs before the deadlines of the request table. A request that arrived during the shutdown has
@@ -263,37 +293,14 @@
         self.conclude_open_requests(now);
         self.process_request_deadlines(now);
         self.maintain_poll(now);
+        timer.end_part(&mut self.turn_times.deadlines);
         self.log_table_sizes(now);
         self.log_memory_state(now);
+        timer.end_part(&mut Duration::default());
         self.flush();
         self.close_flushed_clients();
-    }
-
-    /// Sends all buffered output. If the last socket check is older than [`MAX_SOCKET_CHECK_AGE`], because
-    /// the turn was long or the system did not schedule the process, calls [`Node::catch_up`] first.
-    pub(super) fn flush(&mut self) {
-        while let Some(id) = self.sockets.next_to_flush() {
-            if !self.flush_in_time(id) {
-                self.catch_up();
-            }
-        }
-    }
-
-    /// Sends the buffered output of a socket while the last socket check is recent; returns whether it was
-    /// recent enough. Output that was not sent remains for the next [`Node::flush`].
-    pub(super) fn flush_in_time(&mut self, id: SocketId) -> bool {
-        self.recall_overdue_commands(id, self.now());
-        let limit = self.loop_delay.last_socket_check() + MAX_SOCKET_CHECK_AGE;
-        self.sockets.flush_socket_until(id, Some(limit))
-    }
-
-    /// Processes changes since the turn began: clients that have disconnected, deadlines that have passed,
-    /// and the shorter remaining time of commands that have not been sent yet.
-    fn catch_up(&mut self) {
-        self.loop_delay.sockets_checked(Instant::now());
-        self.read_all_clients();
-        self.process_request_deadlines(self.now());
-        self.rewrite_unsent_commands();
+        timer.end_part(&mut self.turn_times.flush);
+        timer.end(&mut self.turn_times.turn);
     }
 
     fn process_poll_results(&mut self) {
@@ -311,20 +318,44 @@
         }
     }
 
-    /// Processes clients before connections to workers: no command is sent for a client that has disconnected
-    /// in the same turn.
+    /// Processes clients before connections to workers. Clients that had more input than was read in an
+    /// earlier turn come after all others, so that a client that sends without a pause delays only itself.
     fn process_ready_sockets(&mut self) {
-        let ready = self.sockets.take_ready();
-        let is_client = |id: &SocketId| {
-            let socket = self.sockets.get(*id);
-            socket.is_some_and(|socket| matches!(socket.state, Peer::Client(_)))
-        };
-        let (clients, connections): (Vec<SocketId>, Vec<SocketId>) = ready.into_iter().partition(is_client);
-        for id in clients {
-            self.drive_client(id);
+        let mut ready = ReadySockets::default();
+        for id in self.sockets.take_ready() {
+            match self.sockets.get(id).map(|socket| &socket.state) {
+                Some(Peer::Client(client)) if client.is_backlogged => ready.backlogged_clients.push_back(id),
+                Some(Peer::Client(_)) => ready.clients.push_back(id),
+                Some(Peer::WorkerConnection(_)) => ready.connections.push_back(id),
+                None => {}
+            }
+        }
+        self.process_within(MAX_CLIENTS_TIME, &mut ready.clients, Node::drive_client);
+        self.process_within(
+            MAX_BACKLOG_TIME,
+            &mut ready.backlogged_clients,
+            Node::drive_client,
+        );
+        self.process_within(MAX_WORKERS_TIME, &mut ready.connections, Node::drive_connection);
+        self.mark_unread_clients(ready.clients.iter().chain(&ready.backlogged_clients));
+        for unprocessed in [ready.connections, ready.backlogged_clients, ready.clients] {
+            self.sockets.queue_ready_first(unprocessed);
         }
-        for id in connections {
-            self.drive_connection(id);
+    }
+
+    /// Processes sockets in their order for a time, at least one, and removes them from the queue.
+    fn process_within(
+        &mut self,
+        time: Duration,
+        sockets: &mut VecDeque<SocketId>,
+        process: fn(&mut Node, SocketId),
+    ) {
+        let end = Instant::now() + time;
+        while let Some(id) = sockets.pop_front() {
+            process(self, id);
+            if Instant::now() >= end {
+                return;
+            }
         }
     }
 
@@ -382,6 +413,17 @@
             "scheduler table sizes"
         );
         self.log_held_bytes();
+        let longest = std::mem::take(&mut self.turn_times);
+        tracing::debug!(
+            turn = ?longest.turn,
+            accept = ?longest.accept,
+            sockets = ?longest.sockets,
+            deadlines = ?longest.deadlines,
+            flush = ?longest.flush,
+            client_checks = self.counts.client_checks,
+            withheld_commands = self.counts.withheld_commands,
+            "longest turn and its parts"
+        );
     }
 
     /// Carries out the outputs of the request table until none are left.
--- a/crates/quartzdrift/src/platform/worker_connection.rs
+++ b/crates/quartzdrift/src/platform/worker_connection.rs
@@ -36,8 +36,10 @@
     pub(super) send_by: Option<Duration>,
     /// Number of connections that were lost while they carried this command.
     pub(super) lost_connections: u32,
-    /// Position of the command's frame; `None` while the connection is not up.
+    /// Position of the command's frame; `None` while the connection is not up or the command is withheld.
     pub(super) frame_span: Option<FrameSpan>,
+    /// Time from which the remaining time in the frame counts.
+    pub(super) written_at: Duration,
 }
 
 impl Command {
