run: a response that was sent no longer counts as held for its client

What callers would have seen: after large responses to many clients, requests with large bodies of others refused for lack of memory, on a scheduler that held next to nothing. Cause: what a client holds was counted when the response was written and not again when it was sent. Change: the flush of a response counts again. Evidence: the new test timed out before (40 clients with responses of 60 KiB under a limit of 4 MB: the next request with 16 KiB was refused), passes now.

--- a/crates/quartzdrift-lab/tests/floods.rs
+++ b/crates/quartzdrift-lab/tests/floods.rs
@@ -2,7 +2,7 @@
 //! retries after a short deduplication window, and a long endpoint list at the start.
 use quartzdrift_lab::cluster_harness::{
     ClusterHarness, REQUEST_ID, SECOND_REQUEST_ID, SUCCEEDED, check_status, config_json, endpoint_event,
-    endpoint_json, request_and_reply, request_fields, scheduler_command, send_request,
+    endpoint_json, request_and_reply, request_fields, scheduler_command, send_request, serve_next_command,
 };
 use quartzdrift_lab::platform::{Coordinator, Frontend, RequestFields};
 use quartzdrift_platform::frame;
@@ -63,6 +63,33 @@
     assert_eq!(check_status(&mut cluster.frontend()), 200);
 }
 
+/// Guards against memory that counts as held for clients after they have received their responses, so that
+/// requests of others are refused.
+#[test]
+fn large_responses_that_were_received_leave_the_memory_to_other_clients() {
+    const CLIENTS: u64 = 40;
+    const RESPONSE_BYTES: usize = 60 << 10;
+    let limits = ("\"sockets\":128", "\"sockets\":128,\"memory_mb\":4");
+    let mut cluster = ClusterHarness::with_config_changes(LAB, 1, &[limits]);
+    let mut clients: Vec<Frontend> = Vec::new();
+    for n in 0..CLIENTS {
+        let mut frontend = cluster.frontend();
+        send_request(
+            &mut frontend,
+            1,
+            &request_fields("/do/again", &format!("{n:016x}")),
+        );
+        serve_next_command(&mut cluster.workers[0], &mut frontend, &[7; RESPONSE_BYTES]);
+        clients.push(frontend);
+    }
+    let request = RequestFields {
+        body: &[7; 16 << 10],
+        ..request_fields("/do/again", REQUEST_ID)
+    };
+    send_request(&mut clients[0], 1, &request);
+    serve_next_command(&mut cluster.workers[0], &mut clients[0], b"served");
+}
+
 #[test]
 fn an_answer_that_ends_after_its_header_counts_as_lost() {
     let mut cluster = ClusterHarness::start(LAB, 2);
--- a/crates/quartzdrift/src/platform/flush.rs
+++ b/crates/quartzdrift/src/platform/flush.rs
@@ -40,6 +40,7 @@
             queued.into_iter().partition(is_connection);
         for id in clients {
             self.sockets.flush_socket(id);
+            self.update_held_bytes(id);
         }
         self.verify_until = Instant::now() + MAX_VERIFY_TIME;
         for id in connections {
