--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -376,16 +376,16 @@
     }
 
     /// Sends the output of one socket until the system accepts no more or `deadline` passes. If the deadline
-    /// passes first, the socket stays in the flush queue and the result is `false`.
-    pub fn flush_socket_until(&mut self, id: SocketId, deadline: Option<Instant>) -> bool {
+    /// passes first, the socket stays in the flush queue.
+    pub fn flush_socket_until(&mut self, id: SocketId, deadline: Option<Instant>) {
         let Some(socket) = find_socket(&mut self.sockets, id) else {
             self.flush_queue.retain(|other| *other != id);
-            return true;
+            return;
         };
         let was_readable = socket.is_readable;
         if !socket.flush(deadline) {
             self.queue_flush(id);
-            return false;
+            return;
         }
         let is_newly_readable = socket.is_readable && !was_readable;
         if std::mem::take(&mut socket.is_flush_queued) {
@@ -394,7 +394,6 @@
         if is_newly_readable {
             self.queue_ready(id);
         }
-        true
     }
 
     /// Whether any socket has unsent output.
--- a/crates/quartzdrift-lab/src/measure.rs
+++ b/crates/quartzdrift-lab/src/measure.rs
@@ -105,12 +105,21 @@
 
 /// Resident memory of a process, in MB. `process` is its id or `self`.
 fn resident_mb_of(process: &str) -> io::Result<f64> {
+    Ok(memory_mb(process, "VmRSS:")?.unwrap_or(0.0))
+}
+
+/// Memory of a process in MB, by a field of /proc/PID/status such as `VmRSS:`. `process` is its id or `self`.
+/// `None` if the process has ended and has no memory any more.
+///
+/// # Errors
+/// There is no such process.
+pub fn memory_mb(process: &str, field: &str) -> io::Result<Option<f64>> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(field));
     let kb = line
         .and_then(|l| l.split_whitespace().next())
         .and_then(|n| n.parse::<f64>().ok());
-    Ok(kb.unwrap_or(0.0) / 1024.0)
+    Ok(kb.map(|kb| kb / 1024.0))
 }
 
 /// A plan of synchronous calls at random intervals to 20 functions.
--- a/crates/quartzdrift-lab/tests/soak/memory.rs
+++ b/crates/quartzdrift-lab/tests/soak/memory.rs
@@ -1,6 +1,7 @@
 //! Measures the private memory of the scheduler process, and kills the process above a limit, as the platform
 //! does.
 use quartzdrift_lab::cluster_harness::send_signal;
+use quartzdrift_lab::measure::memory_mb;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -50,10 +51,6 @@
 /// Private memory of a process, in megabytes: anonymous and shared pages, without those of its files. `None`
 /// if the process has ended.
 fn private_mb(process: u32) -> Option<f64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let kilobytes = |name: &str| {
-        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
-        line.split_whitespace().next()?.parse::<f64>().ok()
-    };
-    Some((kilobytes("RssAnon:")? + kilobytes("RssShmem:")?) / 1024.0)
+    let memory_mb = |field: &str| memory_mb(&process.to_string(), field).ok().flatten();
+    Some(memory_mb("RssAnon:")? + memory_mb("RssShmem:")?)
 }
--- a/crates/quartzdrift-lab/tests/soak/run.rs
+++ b/crates/quartzdrift-lab/tests/soak/run.rs
@@ -126,9 +126,7 @@
             after: steps(&mut random, 3, false),
         }
     }
-}
 
-impl Scenario {
     /// Generates the scenario of a seed beside a flood.
     pub fn random_beside_flood(seed: u64) -> Scenario {
         let mut random = StdRng::seed_from_u64(seed);
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -55,8 +55,7 @@
                 return;
             };
             if !self.read_pending_input(evicted) {
-                self.counts.dropped += 1;
-                self.close_client(evicted);
+                self.drop_client(evicted);
             }
         }
     }
--- a/crates/quartzdrift/src/platform/client_connection.rs
+++ b/crates/quartzdrift/src/platform/client_connection.rs
@@ -128,22 +128,21 @@
     pub(super) fn drive_client(&mut self, id: SocketId) {
         self.sockets.flush_socket(id);
         self.sockets.read(id);
-        let earliest_arrival = self.loop_delay.earliest_arrival();
+        let Some(arrived) = self.record_read(id) else {
+            return;
+        };
+        if find_client(&mut self.sockets, id).is_some_and(|client| client.deadline == DeadlineReason::Closing)
+        {
+            return self.discard_input(id);
+        }
         let max_partial_bytes = self.partial_request_limit(id);
         let Some(socket) = self.sockets.get_mut(id) else {
             return;
         };
         let has_ended = socket.is_read_closed();
-        let has_more = socket.may_have_unread();
         let Peer::Client(client) = &mut socket.state else {
             return;
         };
-        let arrived = client.unread_since.unwrap_or(earliest_arrival);
-        client.unread_since = has_more.then_some(arrived);
-        client.is_backlogged = has_more;
-        if client.deadline == DeadlineReason::Closing {
-            return self.discard_input(id);
-        }
         let mut output = Vec::new();
         let mut events = Vec::new();
         let read = client
@@ -169,6 +168,21 @@
         }
     }
 
+    /// Records whether a read has left input in the system's buffer. Returns the earliest time at which the
+    /// input that was read may have arrived; `None` if the socket belongs to no client.
+    fn record_read(&mut self, id: SocketId) -> Option<Instant> {
+        let earliest_arrival = self.loop_delay.earliest_arrival();
+        let socket = self.sockets.get_mut(id)?;
+        let has_more = socket.may_have_unread();
+        let Peer::Client(client) = &mut socket.state else {
+            return None;
+        };
+        let arrived = client.unread_since.unwrap_or(earliest_arrival);
+        client.unread_since = has_more.then_some(arrived);
+        client.is_backlogged = has_more;
+        Some(arrived)
+    }
+
     /// Discards the input of a connection that is about to be closed, and closes it if the client has.
     fn discard_input(&mut self, id: SocketId) {
         let Some(socket) = self.sockets.get_mut(id) else {
@@ -334,7 +348,7 @@
 
     /// Closes and counts the connection of a client that violates the protocol, is too slow, or is evicted to
     /// make room.
-    fn drop_client(&mut self, id: SocketId) {
+    pub(super) fn drop_client(&mut self, id: SocketId) {
         self.counts.dropped += 1;
         self.close_client(id);
     }
--- a/crates/quartzdrift/src/platform/memory.rs
+++ b/crates/quartzdrift/src/platform/memory.rs
@@ -285,9 +285,8 @@
                 Peer::Client(_) | Peer::WorkerConnection(_) => None,
             });
         if let Some((_, id)) = unread.min() {
-            self.counts.dropped += 1;
             self.counts.closed_without_memory += 1;
-            self.close_client(id);
+            self.drop_client(id);
         }
     }
 }
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -294,13 +294,12 @@
         self.process_request_deadlines(now);
         self.maintain_poll(now);
         timer.end_part(&mut self.turn_times.deadlines);
-        self.log_table_sizes(now);
-        self.log_memory_state(now);
-        timer.end_part(&mut Duration::default());
         self.flush();
         self.close_flushed_clients();
         timer.end_part(&mut self.turn_times.flush);
         timer.end(&mut self.turn_times.turn);
+        self.log_table_sizes(now);
+        self.log_memory_state(now);
     }
 
     fn process_poll_results(&mut self) {
