--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -3,8 +3,10 @@
 //! pages say; a case changes one thing by a setting.
 pub mod client;
 pub mod coordinator;
+pub mod fleet;
 pub mod judge;
 pub mod record;
 pub mod scheduler;
+pub mod traffic;
 pub mod wire;
 pub mod worker;
