--- a/review/standins-2/src/scheduler.rs
+++ b/review/standins-2/src/scheduler.rs
@@ -207,6 +207,18 @@
         }
     }
 
+    /// Private memory of the process in KiB: anonymous pages and shared memory, without the program's file.
+    pub fn private_kib(&self) -> u64 {
+        let pid = self.pid.map_or(0, u64::from);
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let lines = status
+            .lines()
+            .filter(|line| line.starts_with("RssAnon:") || line.starts_with("RssShmem:"));
+        lines
+            .filter_map(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok())
+            .sum()
+    }
+
     /// Whether the process has ended, with its status.
     pub fn ended(&mut self) -> Option<String> {
         let mut children = CHILDREN.lock().unwrap();
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -20,6 +20,9 @@
     RunFor(Duration),
     /// It runs, and after this time the connection is reset without an answer.
     ResetAfter(Duration),
+    /// It runs, and its answer declares a body of so many bytes and stops short of the last ones. The connection
+    /// stays open and silent.
+    StopShort(usize),
     /// It is refused unseen.
     Full,
 }
@@ -53,6 +56,7 @@
 enum Job {
     Answer { connection: u64, id: u64, code: u8 },
     Reset { connection: u64 },
+    StopShort { connection: u64, id: u64, bytes: usize },
 }
 
 #[derive(Default)]
@@ -284,6 +288,17 @@
                 let (id, code) = (command.id, wire::OK);
                 (now + time, Job::Answer { connection, id, code })
             }
+            Action::StopShort(bytes) => {
+                let id = command.id;
+                (
+                    now + self.options.work,
+                    Job::StopShort {
+                        connection,
+                        id,
+                        bytes,
+                    },
+                )
+            }
             Action::ResetAfter(time) => (now + time, Job::Reset { connection }),
         };
         let number = state.next_job;
@@ -384,6 +399,18 @@
                         let _ = stream.write_all(&frame);
                     }
                 }
+                Some(Job::StopShort {
+                    connection,
+                    id,
+                    bytes,
+                }) => {
+                    self.record
+                        .line(format!("worker {} {id:016x} stops short", self.uid));
+                    let frame = wire::answer(wire::OK, id, "report=queue:0", &vec![b'y'; bytes]);
+                    if let Some(stream) = state.streams.get_mut(&connection) {
+                        let _ = stream.write_all(&frame[..frame.len() - 2]);
+                    }
+                }
                 Some(Job::Reset { connection }) => {
                     self.record
                         .line(format!("worker {} closes connection {connection}", self.uid));
