--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 . "$folder/../standins-2/run-case.sh"
-run_case "$folder" clock_back
+run_case "$folder" cold_clock
