--- a/review/standins-2/src/scheduler.rs
+++ b/review/standins-2/src/scheduler.rs
@@ -219,6 +219,22 @@
             .sum()
     }
 
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        let pid = self.pid.unwrap_or_default();
+        std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+    }
+
+    /// Time that the process has run on a processor, and time that it has waited for one.
+    pub fn processor_times(&self) -> (Duration, Duration) {
+        let pid = self.pid.map_or(0, u64::from);
+        let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
+        let mut times = text
+            .split_whitespace()
+            .filter_map(|word| word.parse().ok().map(Duration::from_nanos));
+        (times.next().unwrap_or_default(), times.next().unwrap_or_default())
+    }
+
     /// Whether the process has ended, with its status.
     pub fn ended(&mut self) -> Option<String> {
         let mut children = CHILDREN.lock().unwrap();
