Slow start counts from when a start is told, not from machines' clocks

Callers saw refusals and errors when a worker that had just started fell over: after one start on a machine whose clock was ahead by five seconds or an hour, every later start was taken for a warm worker. A restart under the same uid with an earlier start time was not seen as one.

Cause: observe_start took the largest start time heard for a reading of one clock that all machines share, and the age of each process for its distance from it; update_endpoint compared start times by order.

Change: a start counts from when this scheduler is told of it, by its monotonic clock. Any other start time than before is a new process. A boot_ms that is no time is a start, not none. The proofs of activity of the old process end with it.

--- a/crates/quartzdrift-platform/src/coordinator.rs
+++ b/crates/quartzdrift-platform/src/coordinator.rs
@@ -172,6 +172,12 @@
     }
 }
 
+/// The time of a start in milliseconds since 1970. A clock before 1970 or beyond the range of a duration shows
+/// a start as well, only not its time.
+fn start_time(boot_ms: f64) -> Duration {
+    Duration::try_from_secs_f64(boot_ms / 1e3).unwrap_or_default()
+}
+
 impl WorkerEntry {
     fn into_update(self, zones: &[String], kinds: &[String]) -> EndpointUpdate {
         let state = match self.state.as_str() {
@@ -180,13 +186,12 @@
             // A worker in an unknown state gets no new requests.
             _ => EndpointState::Draining,
         };
-        let boot_ms = self.boot_ms.filter(|ms| ms.is_finite() && *ms > 0.0);
         let endpoint = DiscoveredEndpoint {
             capacity: self.capacity_hint,
             cell: location_number(&self.pod_group, &[], &self.uid),
             kind: machine_kind(&self.model, kinds),
             zone: location_number(&self.az, zones, &self.uid),
-            started: boot_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
+            started: self.boot_ms.filter(|ms| *ms != 0.0).map(start_time),
             worker: self.uid,
             state,
         };
--- a/crates/quartzdrift-platform/src/coordinator/tests.rs
+++ b/crates/quartzdrift-platform/src/coordinator/tests.rs
@@ -59,6 +59,22 @@
     assert_eq!(watch.last_index(), 2);
 }
 
+/// Guards against a late start that counts as none because the clock of the worker's machine shows no time of
+/// this century.
+#[test]
+fn every_start_time_but_zero_shows_a_start() {
+    let started = |boot_ms: &str| {
+        let event = event(1, true, &[("a", "127.0.0.1:1", "Ready")]).replace("1500", boot_ms);
+        let changes = apply(&mut EndpointWatch::default(), &response(1, &[event])).unwrap();
+        changes[0].workers[0].endpoint.started
+    };
+    assert_eq!((started("0"), started("null")), (None, None));
+    assert_eq!(started("1500"), Some(Duration::from_millis(1500)));
+    for unusable in ["-1", "-3600000", "1e300"] {
+        assert_eq!(started(unusable), Some(Duration::ZERO), "{unusable}");
+    }
+}
+
 #[test]
 fn an_answer_with_a_gap_or_cut_short_changes_nothing() {
     let mut watch = EndpointWatch::default();
--- a/crates/quartzdrift-scheduler/src/interface/event.rs
+++ b/crates/quartzdrift-scheduler/src/interface/event.rs
@@ -43,7 +43,8 @@
     pub machine_kind: u32,
     /// Index of the worker's zone in [`Settings::zones`](super::Settings::zones).
     pub zone: u32,
-    /// Time of the latest start of the worker's process, by the clock of the endpoint list; `None`: long ago.
+    /// Time of the latest start of the worker's process, by any clock; `None`: long ago. Another time than before
+    /// means that the process is a new one. How old it is does not follow from the time.
     pub started_at: Option<Duration>,
     /// State of the worker.
     pub state: EndpointState,
--- a/crates/quartzdrift-scheduler/src/messages.rs
+++ b/crates/quartzdrift-scheduler/src/messages.rs
@@ -16,11 +16,7 @@
 /// A message to the request table or to a worker.
 pub(crate) enum Message {
     /// To a worker: its entry in the endpoint list was updated.
-    EndpointUpdated {
-        endpoint: EndpointRecord,
-        /// Lower bound of the time since the start of the worker's process.
-        min_age: Duration,
-    },
+    EndpointUpdated(EndpointRecord),
     /// To a worker: asks whether the worker accepts a request.
     PlacementQuery(PlacementQuery),
     /// To the request table: reply of a worker to a placement query; `None`: the worker does not accept the
--- a/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
@@ -72,7 +72,7 @@
             Message::PlaceRequest(request) => self.place_request(request),
             Message::PlacementReply(candidate) => self.collect_reply(candidate),
             Message::WorkerUnresponsive { request, attempt } => self.cancel_attempt(request, attempt),
-            Message::EndpointUpdated { .. }
+            Message::EndpointUpdated(_)
             | Message::PlacementQuery(_)
             | Message::AttemptStarted(_)
             | Message::AttemptEnded { .. }
@@ -94,9 +94,7 @@
 impl Worker {
     fn receive(&mut self, message: Message, context: DecisionContext, mailbox: &mut Mailbox<Message>) {
         match message {
-            Message::EndpointUpdated { endpoint, min_age } => {
-                self.update_endpoint(endpoint, min_age, context);
-            }
+            Message::EndpointUpdated(endpoint) => self.update_endpoint(endpoint, context.now),
             Message::PlacementQuery(query) => {
                 let candidate = self.evaluate_query(&query, context);
                 mailbox.send_to_request_table(Message::PlacementReply(candidate));
--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
@@ -2,7 +2,7 @@
 use super::constants::TICK_INTERVAL;
 use crate::interface::{Action, Endpoint, EndpointListKind, EndpointState};
 use crate::messages::{EndpointRecord, Message};
-use crate::state::{DecisionContext, Scheduler, Worker};
+use crate::state::{Scheduler, Worker};
 use std::time::Duration;
 
 impl Scheduler {
@@ -20,40 +20,17 @@
         if matches!(kind, EndpointListKind::Full | EndpointListKind::Snapshot) {
             for worker in &self.workers {
                 let gone = EndpointRecord { state: EndpointState::Gone, ..worker.endpoint };
-                let message = Message::EndpointUpdated { endpoint: gone, min_age: Duration::ZERO };
-                self.mailbox.send_to_worker(worker.index, message);
+                self.mailbox.send_to_worker(worker.index, Message::EndpointUpdated(gone));
             }
         }
         self.listed_workers_stale = true;
-        for started_at in entries.iter().filter_map(|entry| entry.started_at) {
-            self.observe_start(started_at);
-        }
         for entry in entries {
             let worker = self.worker_index(entry.worker);
             let endpoint = EndpointRecord { worker: "", ..*entry };
-            let min_age = entry.started_at.map_or(Duration::ZERO, |started_at| self.min_age(started_at));
-            self.mailbox.send_to_worker(worker, Message::EndpointUpdated { endpoint, min_age });
-        }
-    }
-
-    /// Uses a worker's start time to estimate the clock of the endpoint list, which may differ from this
-    /// scheduler's clock by any offset. When a start time is received, the list's clock shows at least that
-    /// time. From then on both clocks are taken to run at the same rate.
-    fn observe_start(&mut self, started_at: Duration) {
-        let is_newest = self
-            .latest_start
-            .is_none_or(|(latest, received_at)| started_at + received_at > latest + self.now);
-        if is_newest {
-            self.latest_start = Some((started_at, self.now));
+            self.mailbox.send_to_worker(worker, Message::EndpointUpdated(endpoint));
         }
     }
 
-    /// Returns a lower bound of the time since a process started.
-    fn min_age(&self, started_at: Duration) -> Duration {
-        let (latest, received_at) = self.latest_start.unwrap_or((started_at, self.now));
-        (latest + self.now).saturating_sub(received_at + started_at)
-    }
-
     /// Performs the periodic checks of responsiveness, of the lease and of the watch, and sets the next
     /// timer.
     pub(super) fn handle_tick(&mut self) {
@@ -70,22 +47,28 @@
 }
 
 impl Worker {
-    /// Replaces the worker's entry. `min_age` is a lower bound of the time since the start time in the entry.
-    pub(super) fn update_endpoint(
-        &mut self,
-        endpoint: EndpointRecord,
-        min_age: Duration,
-        context: DecisionContext,
-    ) {
+    /// Replaces the worker's entry. An entry with another start time than before names a new process.
+    pub(super) fn update_endpoint(&mut self, endpoint: EndpointRecord, now: Duration) {
         if endpoint.state == EndpointState::Gone && self.endpoint.state != EndpointState::Gone {
-            self.gone_since = context.now;
+            self.gone_since = now;
         }
-        if endpoint.started_at > self.endpoint.started_at {
-            // A new process has an empty cache, and the failures of the old process do not concern it.
-            self.warming_since = Some(context.now.saturating_sub(min_age));
-            self.cache.clear();
-            self.health.clear();
+        let is_up = endpoint.state == EndpointState::Up;
+        // An entry that takes the worker out of service need not repeat its start time.
+        let started_at =
+            if is_up { endpoint.started_at } else { endpoint.started_at.or(self.endpoint.started_at) };
+        if started_at != self.endpoint.started_at {
+            self.start_process(now);
         }
-        self.endpoint = endpoint;
+        self.endpoint = EndpointRecord { started_at, ..endpoint };
+    }
+
+    /// Begins the slow start of a new process, whose cache is empty and which the failures of the old process
+    /// do not concern. Its age counts from when this scheduler was told of it: start times are read from the
+    /// clocks of the workers' machines, and those may be wrong by any amount.
+    fn start_process(&mut self, now: Duration) {
+        self.warming_since = Some(now);
+        self.cache.clear();
+        self.health.clear();
+        self.proof = None;
     }
 }
--- a/crates/quartzdrift-scheduler/src/state/scheduler.rs
+++ b/crates/quartzdrift-scheduler/src/state/scheduler.rs
@@ -58,9 +58,6 @@
     pub(crate) load_quota_commands: SlidingWindow,
     pub(crate) prefetch_paused_until: Duration,
     pub(crate) prefetch_durations: Histogram,
-    /// The worker start that gives the best lower bound of the endpoint list's clock, and the time at which
-    /// this scheduler received it.
-    pub(crate) latest_start: Option<(Duration, Duration)>,
     pub(crate) lease: EndpointLease,
     /// Time at which to start the next watch on the endpoint list; `None`: none is due.
     pub(crate) watch_due_at: Option<Duration>,
--- a/crates/quartzdrift-scheduler/src/state/worker.rs
+++ b/crates/quartzdrift-scheduler/src/state/worker.rs
@@ -85,7 +85,8 @@
     /// Share of the worker's memory that cannot be reclaimed, from 0 to 1, according to the last load report.
     pub(crate) unreclaimable_share: f64,
     pub(crate) last_response_at: Duration,
-    /// Start time of the worker's process while the worker is warming up; `None`: it is not.
+    /// Time at which this scheduler was told of the start of the worker's process, while the worker is warming
+    /// up; `None`: it is not.
     pub(crate) warming_since: Option<Duration>,
     pub(crate) slow_start_usage: SlowStartUsage,
     pub(crate) at_capacity_until: Duration,
--- a/crates/quartzdrift-scheduler/tests/decisions.rs
+++ b/crates/quartzdrift-scheduler/tests/decisions.rs
@@ -67,6 +67,25 @@
 /// Time of a scheduled event, and its sequence number.
 type EventKey = (Duration, u64);
 
+/// The clocks that the workers' machines read at the starts of their workers.
+enum WorkerClocks {
+    /// All show the time of the run.
+    Exact,
+    /// Each is wrong by an amount that is drawn at each start.
+    Wrong(SplitMix64),
+}
+
+impl WorkerClocks {
+    /// Reads a machine's clock at the time `now`, up to two hours ahead of it or, as far as a clock can be,
+    /// behind it. No two readings are equal.
+    fn read(&mut self, now: Duration) -> Duration {
+        match self {
+            WorkerClocks::Exact => now,
+            WorkerClocks::Wrong(random) => random.duration_ms(1, 7_200_000),
+        }
+    }
+}
+
 /// A run of one scheduler in simulated time.
 struct Simulation {
     seed: u64,
@@ -86,8 +105,9 @@
     attempt_counts: BTreeMap<RequestId, u32>,
     /// Scheduled end of each attempt in flight, by request and number of the attempt.
     in_flight: BTreeMap<(RequestId, u32), EventKey>,
-    /// Latest start of each worker's process; `None`: before the run.
+    /// Latest start of each worker's process by its machine's clock; `None`: before the run.
     started_at: Vec<Option<Duration>>,
+    clocks: WorkerClocks,
     /// Number of attempts for which each worker's error rate is still raised.
     failures_left: Vec<u64>,
     last_request: RequestId,
@@ -228,6 +248,7 @@
             attempt_counts: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             started_at: vec![None; WORKERS],
+            clocks: WorkerClocks::Exact,
             failures_left: vec![0; WORKERS],
             last_request: 0,
             actions: Vec::new(),
@@ -304,7 +325,7 @@
         let names: Vec<String> = (0..WORKERS).map(|index| format!("10.0.0.{index}:80")).collect();
         if kind != EndpointListKind::Snapshot && self.random.chance(40) {
             let index = self.random.below(WORKERS as u64) as usize;
-            self.started_at[index] = Some(self.now);
+            self.started_at[index] = Some(self.clocks.read(self.now));
         }
         let mut entries = Vec::new();
         for (index, worker) in names.iter().enumerate() {
@@ -524,3 +545,21 @@
         assert_eq!(recorded.next(), None, "decisions.txt has more lines than the runs have blocks");
     }
 }
+
+/// Guards against a worker that is taken for warm, or not for a new process, because a clock was wrong when it
+/// started: the readings of the workers' clocks make no difference to any decision.
+#[test]
+fn wrong_clocks_of_workers_change_no_decision() {
+    for seed in 0..RUNS {
+        let expected = Simulation::new(seed).run();
+        let mut simulation = Simulation::new(seed);
+        simulation.clocks = WorkerClocks::Wrong(SplitMix64(seed));
+        let actions = simulation.run();
+        let difference = expected.iter().zip(&actions).find(|(expected, action)| expected != action);
+        assert_eq!(
+            difference, None,
+            "run {seed}: the first action that differs, without and with wrong clocks"
+        );
+        assert_eq!(actions.len(), expected.len(), "run {seed}");
+    }
+}
