A worker is a process at an address: one listed there later replaces it

Callers saw keyed requests run twice, in two groups: a worker of another group had started at an address that the list still gave for a dead one, and a repeat "within the group" of the dead one reached it.

Cause: workers were told apart by uid alone, and the scope of a repeat was read from the worker's present entry.

Change: the module sees addresses. The process listed last at one is there; the other is gone, also when a change or a whole list names it again, and the request table and run follow in placement, unsent attempts and connections. A worker at another address is a new process. A request keeps the entries, as sent, of all workers that may have run it, with those listed later at the same address, and is repeated only in the scope of all of them. New notice, log line and count `replaced`; the sizes logged each second tell the workers in slow start.

--- a/crates/quartzdrift-adapter/src/line.rs
+++ b/crates/quartzdrift-adapter/src/line.rs
@@ -116,6 +116,7 @@
         Some(Endpoint {
             worker: self.text("worker")?,
             capacity_hint: self.number("capacity-hint"),
+            address: None,
             cell: self.integer("cell").unwrap_or(0),
             machine_kind: self.integer("generation-hw").unwrap_or(0),
             zone: self.integer("az").unwrap_or(0),
--- a/crates/quartzdrift-discovery/src/endpoint.rs
+++ b/crates/quartzdrift-discovery/src/endpoint.rs
@@ -42,6 +42,7 @@
         Endpoint {
             worker: &self.worker,
             capacity_hint: self.capacity,
+            address: None,
             cell: self.cell,
             machine_kind: self.kind,
             zone: self.zone,
--- a/crates/quartzdrift-lifecycle/src/request_table/endpoints.rs
+++ b/crates/quartzdrift-lifecycle/src/request_table/endpoints.rs
@@ -3,6 +3,7 @@
 use crate::command::CommandKind;
 use crate::output::Output;
 use quartzdrift_scheduler::interface::{Endpoint, EndpointListKind, EndpointState, Event};
+use std::rc::Rc;
 use std::time::Duration;
 
 impl<P: Clone> RequestTable<P> {
@@ -19,11 +20,19 @@
             self.update_endpoint(entry);
         }
         self.notify_scheduler(Event::EndpointList { kind, entries });
+        for worker in self.scheduler.replaced_workers() {
+            self.workers.remove(&worker);
+        }
         self.recall_attempts();
         self.recall_load_commands();
         self.process_pending_ends();
     }
 
+    /// Names of the workers that the list names although another one has replaced them at their address.
+    pub fn replaced_workers(&self) -> Vec<Rc<str>> {
+        self.scheduler.replaced_workers().collect()
+    }
+
     fn update_endpoint(&mut self, entry: &Endpoint) {
         match entry.state {
             EndpointState::Gone => {
--- a/crates/quartzdrift-platform/src/coordinator.rs
+++ b/crates/quartzdrift-platform/src/coordinator.rs
@@ -1,8 +1,9 @@
 //! Applies the coordinator's numbered events to the list of workers.
 //!
-//! A worker is identified by its uid alone, since another worker may later use the same address.
+//! A worker is named by its uid, since another worker may later use the same address. The scheduler decides which
+//! of several workers is at an address.
 use quartzdrift_discovery::DiscoveredEndpoint;
-use quartzdrift_scheduler::interface::EndpointState;
+use quartzdrift_scheduler::interface::{Endpoint, EndpointState};
 use serde::Deserialize;
 use serde_json::Value;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -77,6 +78,16 @@
     pub address: Option<SocketAddr>,
 }
 
+impl EndpointUpdate {
+    /// Borrows the update in the form of the scheduler's endpoint list.
+    pub fn as_endpoint(&self) -> Endpoint<'_> {
+        Endpoint {
+            address: self.address,
+            ..self.endpoint.as_endpoint()
+        }
+    }
+}
+
 /// Changes that one event makes to the list of workers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointChange {
--- a/crates/quartzdrift-scheduler/src/interface/action.rs
+++ b/crates/quartzdrift-scheduler/src/interface/action.rs
@@ -1,6 +1,7 @@
 //! Actions that the scheduler requests from its host, which carries them out in the order of the returned
 //! list.
 use super::RequestId;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,6 +65,13 @@
         /// The worker's new standing.
         standing: WorkerStanding,
     },
+    /// A worker is no longer used, because another one was listed at its address.
+    WorkerReplaced {
+        /// Name of the worker.
+        worker: Rc<str>,
+        /// The address of both.
+        address: SocketAddr,
+    },
     /// While the endpoint list cannot be confirmed, the number of usable workers fell to zero or rose from
     /// it.
     UsableWorkers {
--- a/crates/quartzdrift-scheduler/src/interface/event.rs
+++ b/crates/quartzdrift-scheduler/src/interface/event.rs
@@ -1,5 +1,6 @@
 //! Events that the host passes to the scheduler, in the order in which they occurred.
 use crate::measure::Measurements;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Number of a request. The host assigns it, unique among the open requests.
@@ -37,6 +38,9 @@
     pub worker: &'a str,
     /// Capacity of the worker as [`CapacityHints`](super::CapacityHints) describes it; `None`: not listed.
     pub capacity_hint: Option<f64>,
+    /// Address at which the worker listens; `None`: its name is its address. Two workers are never at one address:
+    /// the one that was listed there last has replaced the other.
+    pub address: Option<SocketAddr>,
     /// Number of the worker's cell, which is a part of its zone.
     pub cell: u32,
     /// Index of the worker's kind of machine in [`Settings::machine_kinds`](super::Settings::machine_kinds).
--- a/crates/quartzdrift-scheduler/src/messages.rs
+++ b/crates/quartzdrift-scheduler/src/messages.rs
@@ -17,6 +17,8 @@
 pub(crate) enum Message {
     /// To a worker: its entry in the endpoint list was updated.
     EndpointUpdated(EndpointRecord),
+    /// To a worker: another worker has taken over its address.
+    Replaced,
     /// To a worker: asks whether the worker accepts a request.
     PlacementQuery(PlacementQuery),
     /// To the request table: reply of a worker to a placement query; `None`: the worker does not accept the
@@ -63,22 +65,32 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Restriction {
     scope: DeduplicationScope,
-    /// Entry of the worker that may have executed the request.
-    endpoint: EndpointRecord,
+    /// A worker that may have executed the request.
+    executor: EndpointRecord,
+    /// The workers that may have executed the request are in several scopes: no worker drops every duplicate.
+    is_in_several_scopes: bool,
 }
 
 impl Restriction {
-    pub(crate) fn new(scope: DeduplicationScope, endpoint: EndpointRecord) -> Restriction {
-        Restriction { scope, endpoint }
+    /// Creates the restriction of a request that these workers may have executed; `None`: none may have.
+    pub(crate) fn new(scope: DeduplicationScope, executors: &[EndpointRecord]) -> Option<Restriction> {
+        let (&executor, others) = executors.split_first()?;
+        let is_in_several_scopes = others.iter().any(|other| !is_in_same_scope(scope, &executor, other));
+        Some(Restriction { scope, executor, is_in_several_scopes })
     }
 
     pub(crate) fn permits(&self, worker: &EndpointRecord) -> bool {
-        let same_zone = worker.zone == self.endpoint.zone;
-        match self.scope {
-            DeduplicationScope::All => true,
-            DeduplicationScope::Zone => same_zone,
-            DeduplicationScope::Cell => same_zone && worker.cell == self.endpoint.cell,
-        }
+        !self.is_in_several_scopes && is_in_same_scope(self.scope, &self.executor, worker)
+    }
+}
+
+/// Whether each of two workers drops a duplicate of a request that the other has executed.
+fn is_in_same_scope(scope: DeduplicationScope, first: &EndpointRecord, second: &EndpointRecord) -> bool {
+    let same_zone = first.zone == second.zone;
+    match scope {
+        DeduplicationScope::All => true,
+        DeduplicationScope::Zone => same_zone,
+        DeduplicationScope::Cell => same_zone && first.cell == second.cell,
     }
 }
 
--- a/crates/quartzdrift-scheduler/src/scheduler/admission.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/admission.rs
@@ -56,9 +56,9 @@
     /// Returns the reason for which no worker may receive the request; `None`: there is no such reason.
     fn rejection_reason(&self, request: &OpenRequest) -> Option<RejectReason> {
         let class = &self.classes[request.request_class];
-        let may_repeat = request.first_uncertain_attempt.is_none_or(|first| match class.idempotency {
+        let may_repeat = request.first_uncertain_sent_at.is_none_or(|sent_at| match class.idempotency {
             Idempotency::Idempotent => true,
-            Idempotency::IdempotentWithKey => self.now < first.sent_at + class.deduplication_window,
+            Idempotency::IdempotentWithKey => self.now < sent_at + class.deduplication_window,
             Idempotency::NonIdempotent => false,
         });
         if !may_repeat {
@@ -103,9 +103,8 @@
     fn placement_query(&self, request: &OpenRequest) -> PlacementQuery {
         let class = &self.classes[request.request_class];
         let has_key = class.idempotency == Idempotency::IdempotentWithKey;
-        let executor =
-            request.first_uncertain_attempt.filter(|_| has_key).map(|first| &self.workers[first.worker]);
-        let restriction = executor.map(|worker| Restriction::new(class.deduplication_scope, worker.endpoint));
+        let executors = if has_key { &request.possible_executors[..] } else { &[] };
+        let restriction = Restriction::new(class.deduplication_scope, executors);
         PlacementQuery {
             request_class: request.request_class,
             tenant: request.tenant,
--- a/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/attempt.rs
@@ -2,7 +2,7 @@
 use super::constants::{DEFAULT_RETRY_AFTER, MEDIAN, RETRY_AFTER_RATIO};
 use crate::interface::{Action, DeduplicationScope, Idempotency, RejectReason, RequestId};
 use crate::messages::{Attempt, Candidate, Message, PlacementQuery};
-use crate::state::{DecisionContext, OpenRequest, Scheduler, Worker};
+use crate::state::{CurrentAttempt, DecisionContext, OpenRequest, Scheduler, Worker};
 
 impl Scheduler {
     /// Whether a request may be retried after `more` additional attempts.
@@ -18,7 +18,9 @@
         // An attempt that cannot be cancelled later needs its timeout from the start.
         let is_limited = self.may_retry(request, 1) && !self.settings.can_cancel;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let number = request.add_attempt(candidate.worker, candidate.cache_status, self.now);
+        let endpoint = self.workers[candidate.worker].endpoint;
+        let current = CurrentAttempt::new(candidate.cache_status, endpoint, self.now);
+        let number = request.add_attempt(candidate.worker, current);
         let attempt = Attempt { request: id, number, query, timeout, sent_at: self.now };
         self.cache_insertions += 1;
         self.mailbox.send_to_worker(candidate.worker, Message::AttemptStarted(attempt));
@@ -47,7 +49,7 @@
             Idempotency::IdempotentWithKey => class.deduplication_scope == DeduplicationScope::All,
             Idempotency::NonIdempotent => false,
         };
-        if request.first_uncertain_attempt.is_some() && !may_client_retry {
+        if request.first_uncertain_sent_at.is_some() && !may_client_retry {
             return self.actions.push(Action::Fail { request: id });
         }
         let typical_duration = class.duration_quantile(MEDIAN, false).unwrap_or(DEFAULT_RETRY_AFTER);
--- a/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/dispatch.rs
@@ -73,6 +73,7 @@
             Message::PlacementReply(candidate) => self.collect_reply(candidate),
             Message::WorkerUnresponsive { request, attempt } => self.cancel_attempt(request, attempt),
             Message::EndpointUpdated(_)
+            | Message::Replaced
             | Message::PlacementQuery(_)
             | Message::AttemptStarted(_)
             | Message::AttemptEnded { .. }
@@ -95,6 +96,7 @@
     fn receive(&mut self, message: Message, context: DecisionContext, mailbox: &mut Mailbox<Message>) {
         match message {
             Message::EndpointUpdated(endpoint) => self.update_endpoint(endpoint, context.now),
+            Message::Replaced => self.record_replaced(context.now),
             Message::PlacementQuery(query) => {
                 let candidate = self.evaluate_query(&query, context);
                 mailbox.send_to_request_table(Message::PlacementReply(candidate));
--- a/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/endpoint_list.rs
@@ -3,6 +3,7 @@
 use crate::interface::{Action, Endpoint, EndpointListKind, EndpointState};
 use crate::messages::{EndpointRecord, Message};
 use crate::state::{Scheduler, Worker};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 impl Scheduler {
@@ -17,20 +18,43 @@
         if kind == EndpointListKind::Failed && self.settings.must_watch_endpoints {
             self.watch_due_at = Some(self.now + self.settings.watch_retry_delay);
         }
-        if matches!(kind, EndpointListKind::Full | EndpointListKind::Snapshot) {
-            for worker in &self.workers {
-                let gone = EndpointRecord { state: EndpointState::Gone, ..worker.endpoint };
-                self.mailbox.send_to_worker(worker.index, Message::EndpointUpdated(gone));
-            }
+        let is_whole_list = matches!(kind, EndpointListKind::Full | EndpointListKind::Snapshot);
+        let entries = self.indexed_entries(entries, is_whole_list);
+        if is_whole_list {
+            self.remove_unlisted_workers(&entries);
         }
         self.listed_workers_stale = true;
-        for entry in entries {
-            let worker = self.worker_index(entry.worker);
-            let endpoint = EndpointRecord { worker: "", ..*entry };
+        for (worker, endpoint) in entries {
+            let endpoint = self.resolve_address(worker, endpoint);
             self.mailbox.send_to_worker(worker, Message::EndpointUpdated(endpoint));
         }
     }
 
+    /// Returns the entries with the indexes of their workers, in the order in which they became valid. The order of
+    /// a whole list says nothing, but a worker that has started late came after those that were there before.
+    fn indexed_entries(&mut self, entries: &[Endpoint], is_whole_list: bool) -> Vec<(usize, EndpointRecord)> {
+        let index =
+            |entry: &Endpoint| (self.worker_index(entry.worker), EndpointRecord { worker: "", ..*entry });
+        let mut indexed: Vec<_> = entries.iter().map(index).collect();
+        if is_whole_list {
+            indexed.sort_by_key(|(_, endpoint)| endpoint.started_at.is_some());
+        }
+        indexed
+    }
+
+    /// Marks the workers that a whole list omits as gone.
+    fn remove_unlisted_workers(&mut self, listed: &[(usize, EndpointRecord)]) {
+        let listed: BTreeSet<usize> = listed.iter().map(|(worker, _)| *worker).collect();
+        for worker in &self.workers {
+            if listed.contains(&worker.index) {
+                continue;
+            }
+            self.addresses.remove(worker.index, worker.endpoint.address);
+            let gone = EndpointRecord { state: EndpointState::Gone, ..worker.endpoint };
+            self.mailbox.send_to_worker(worker.index, Message::EndpointUpdated(gone));
+        }
+    }
+
     /// Performs the periodic checks of responsiveness, of the lease and of the watch, and sets the next
     /// timer.
     pub(super) fn handle_tick(&mut self) {
@@ -47,7 +71,7 @@
 }
 
 impl Worker {
-    /// Replaces the worker's entry. An entry with another start time than before names a new process.
+    /// Replaces the worker's entry. An entry with another start time or address than before names a new process.
     pub(super) fn update_endpoint(&mut self, endpoint: EndpointRecord, now: Duration) {
         if endpoint.state == EndpointState::Gone && self.endpoint.state != EndpointState::Gone {
             self.gone_since = now;
@@ -56,7 +80,8 @@
         // An entry that takes the worker out of service need not repeat its start time.
         let started_at =
             if is_up { endpoint.started_at } else { endpoint.started_at.or(self.endpoint.started_at) };
-        if started_at != self.endpoint.started_at {
+        let has_moved = is_up && self.endpoint.address.is_some() && endpoint.address != self.endpoint.address;
+        if has_moved || started_at != self.endpoint.started_at {
             self.start_process(now);
         }
         self.endpoint = EndpointRecord { started_at, ..endpoint };
--- a/crates/quartzdrift-scheduler/src/scheduler/housekeeping.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/housekeeping.rs
@@ -108,11 +108,12 @@
     fn sweep_worker_names(&mut self) {
         let in_use = self.workers_in_use();
         let oldest = self.now.saturating_sub(GONE_WORKER_RETENTION + self.settings.slow_start_duration);
-        let workers = &mut self.workers;
+        let (workers, replaced) = (&mut self.workers, &self.addresses.replaced);
         self.worker_names.remove_if(|index| {
             let worker = &workers[index];
             let is_gone = worker.endpoint.state == EndpointState::Gone && worker.gone_since < oldest;
-            let is_removable = is_gone && !in_use.contains(&index);
+            let is_listed = replaced.contains_key(&index);
+            let is_removable = is_gone && !is_listed && !in_use.contains(&index);
             if is_removable {
                 workers[index] = Worker::new(index);
             }
--- a/crates/quartzdrift-scheduler/src/scheduler/mod.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 
 mod dispatch;
 
+mod addresses;
 mod admission;
 mod candidate;
 mod ranking;
--- a/crates/quartzdrift-scheduler/src/scheduler/outcome.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/outcome.rs
@@ -5,7 +5,7 @@
 use crate::interface::{CacheResult, Outcome};
 use crate::measure::DecayingPeak;
 use crate::messages::{AttemptEnd, CacheStatus, Message};
-use crate::state::{CacheEntry, DecisionContext, RemoteLoad, Scheduler, UncertainAttempt, Worker};
+use crate::state::{CacheEntry, DecisionContext, RemoteLoad, Scheduler, Worker};
 use std::time::Duration;
 
 impl Scheduler {
@@ -28,8 +28,9 @@
     /// Updates the request of an attempt, and the measurements of its class, by the attempt's outcome.
     fn record_outcome(&mut self, worker: usize, end: &AttemptEnd, tenant_rejected: bool) {
         let is_unconfirmed = self.lease_view().is_unconfirmed;
+        let endpoint = self.workers[worker].endpoint;
         let Some(request) = self.requests.get_mut(&end.request) else { return };
-        let ended_attempt = request.take_current_attempt(self.now);
+        let ended_attempt = request.take_current_attempt(self.now, endpoint);
         match end.outcome {
             Outcome::Succeeded => {
                 let (request_class, tenant) = (request.request_class, request.tenant);
@@ -42,8 +43,7 @@
                 self.record_success(worker, request_class, tenant, relative_duration);
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
-                let attempt = UncertainAttempt { worker, sent_at: ended_attempt.sent_at };
-                request.first_uncertain_attempt.get_or_insert(attempt);
+                request.record_uncertain(ended_attempt);
             }
             // A draining worker rejects every attempt, which is no evidence about the other workers.
             Outcome::AtCapacity if is_unconfirmed => {}
--- a/crates/quartzdrift-scheduler/src/state/mod.rs
+++ b/crates/quartzdrift-scheduler/src/state/mod.rs
@@ -1,4 +1,5 @@
 //! State that the scheduling decisions read and write. The decisions themselves are in [`crate::scheduler`].
+mod addresses;
 mod class;
 mod lease;
 mod request;
@@ -6,9 +7,10 @@
 mod settings;
 mod worker;
 
+pub(crate) use addresses::{Addresses, Process};
 pub(crate) use class::ClassState;
 pub(crate) use lease::{ActivityProof, EndpointLease, LeaseView};
-pub(crate) use request::{OpenRequest, PendingQuery, UncertainAttempt};
+pub(crate) use request::{CurrentAttempt, OpenRequest, PendingQuery};
 pub use scheduler::{Scheduler, TableSizes};
 pub(crate) use settings::DerivedSettings;
 pub(crate) use worker::{CacheEntry, DecisionContext, Health, RemoteLoad, Worker};
--- a/crates/quartzdrift-scheduler/src/state/scheduler.rs
+++ b/crates/quartzdrift-scheduler/src/state/scheduler.rs
@@ -1,5 +1,5 @@
 //! State of the scheduler.
-use super::{ClassState, DerivedSettings, EndpointLease, OpenRequest, PendingQuery, Worker};
+use super::{Addresses, ClassState, DerivedSettings, EndpointLease, OpenRequest, PendingQuery, Worker};
 use crate::interface::{Action, EndpointState, RequestId};
 use crate::mailbox::Mailbox;
 use crate::measure::{DecayingSums, Histogram, Measurements, RelativeSpeeds, SlidingWindow};
@@ -41,6 +41,7 @@
     pub(crate) listed_workers: Vec<usize>,
     /// The endpoint list has changed since `listed_workers` was built.
     pub(crate) listed_workers_stale: bool,
+    pub(crate) addresses: Addresses,
     pub(crate) worker_names: NameTable,
     pub(crate) function_names: NameTable,
     /// Number of functions at which the least requested ones are forgotten; 0 until it is first computed.
@@ -78,6 +79,8 @@
     pub cache_entries: usize,
     /// Number of functions with a measured popularity.
     pub popularities: usize,
+    /// Workers that are in slow start, each since this scheduler was told of its process.
+    pub warming_workers: usize,
     /// Functions that were forgotten since the start because the name table was full.
     pub forgotten_functions: u64,
 }
@@ -91,6 +94,7 @@
             open_requests: self.requests.len(),
             cache_entries: self.workers.iter().map(|worker| worker.cache.len()).sum(),
             popularities: self.requested_work.len(),
+            warming_workers: self.workers.iter().filter(|worker| worker.warming_since.is_some()).count(),
             forgotten_functions: self.forgotten_functions,
         }
     }
--- a/crates/quartzdrift-scheduler/tests/decisions.rs
+++ b/crates/quartzdrift-scheduler/tests/decisions.rs
@@ -341,6 +341,7 @@
             entries.push(Endpoint {
                 worker,
                 capacity_hint: None,
+                address: None,
                 cell: number / 5,
                 machine_kind: number % 2,
                 zone: number % 3,
--- a/crates/quartzdrift-scheduler/tests/scenario_runner/workers.rs
+++ b/crates/quartzdrift-scheduler/tests/scenario_runner/workers.rs
@@ -72,9 +72,9 @@
     }
 }
 
-/// Parses a worker's entry such as `d:draining^2s@1*2`.
+/// Parses a worker's entry such as `d:draining^2s@1*2=80`.
 fn parse_endpoint(text: &str) -> Result<Endpoint<'_>> {
-    let markers = [':', '^', '@', '*'];
+    let markers = [':', '^', '@', '*', '='];
     let end = text.find(markers).unwrap_or(text.len());
     let mut endpoint = Endpoint { worker: &text[..end], state: EndpointState::Up, ..Endpoint::default() };
     let mut rest = &text[end..];
@@ -87,6 +87,7 @@
             ('^', _) => endpoint.started_at = Some(parse_duration(value)?),
             ('*', _) => endpoint.machine_kind = parse_number(value)?,
             ('@', _) => endpoint.zone = parse_number(value)?,
+            ('=', _) => endpoint.address = Some(([127, 0, 0, 1], parse_number(value)?).into()),
             _ => return Err(format!("invalid entry {text:?}: unknown {marker}{value}")),
         }
         rest = &rest[end..];
--- a/crates/quartzdrift-scheduler/tests/scenarios.rs
+++ b/crates/quartzdrift-scheduler/tests/scenarios.rs
@@ -38,8 +38,8 @@
 //!     at 100ms                    time of the lines that follow
 //!     list full a b:draining c^2s d@1*2
 //!                                 endpoint list: kind (`full`, `saved`, `changes` or `failed`), then workers
-//!                                 with state (`:draining`, `:gone`), start time (`^`), zone (`@`) and kind
-//!                                 of machine (`*`)
+//!                                 with state (`:draining`, `:gone`), start time (`^`), zone (`@`), kind of
+//!                                 machine (`*`) and port of its address (`=`)
 //!     confirmed 90ms              discovery confirmed the endpoint list as of this time, or as of now
 //!     disconnected a              worker a closed an idle connection
 //!     replace 10000 30 every=1s   starts 10000 workers at this interval, of which the latest 30 are up; a
--- a/crates/quartzdrift/src/platform/coordinator.rs
+++ b/crates/quartzdrift/src/platform/coordinator.rs
@@ -414,17 +414,17 @@
             keep_last_entries(&mut workers);
             self.remove_unlisted_workers(&workers);
         }
-        let displaced = self.update_workers(&workers);
+        let mut displaced = self.update_workers(&workers);
         let kind = if is_full_list {
             EndpointListKind::Full
         } else {
             EndpointListKind::Changes
         };
-        let endpoints = workers
-            .iter()
-            .map(|update| update.endpoint.as_endpoint())
-            .collect();
+        let endpoints = workers.iter().map(EndpointUpdate::as_endpoint).collect();
         self.request_table.update_endpoints(self.now(), kind, endpoints);
+        for uid in self.request_table.replaced_workers() {
+            displaced.extend(self.remove_worker(&uid));
+        }
         // The attempts are recalled even if the worker is up again by the end of the event: they were meant
         // for the process before the restart.
         for (request, attempt) in displaced {
@@ -471,9 +471,10 @@
     }
 }
 
-/// Keeps only the last entry of each worker in a whole list, and reverses the order of the list.
+/// Keeps only the last entry of each worker in a whole list.
 fn keep_last_entries(workers: &mut Vec<EndpointUpdate>) {
     let mut seen_uids = HashSet::new();
     workers.reverse();
     workers.retain(|update| seen_uids.insert(update.endpoint.worker.clone()));
+    workers.reverse();
 }
--- a/crates/quartzdrift/src/platform/counts.rs
+++ b/crates/quartzdrift/src/platform/counts.rs
@@ -20,7 +20,7 @@
     pub timed_out: u64,
 }
 
-/// Notices of the scheduler while the endpoint list was out of date.
+/// Notices of the scheduler on the endpoint list and its workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NoticeCounts {
     /// Lapses of the endpoint list's lease.
@@ -33,6 +33,8 @@
     pub proven: u64,
     /// Changes of a worker's standing to [`WorkerStanding::Unproven`].
     pub unproven: u64,
+    /// Workers that were replaced by another one at their address.
+    pub replaced: u64,
 }
 
 impl NoticeCounts {
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -409,6 +409,7 @@
             function_names = scheduler.functions,
             forgotten_functions = scheduler.forgotten_functions,
             cache_entries = scheduler.cache_entries,
+            warming_workers = scheduler.warming_workers,
             "scheduler table sizes"
         );
         self.log_held_bytes();
--- a/crates/quartzdrift/src/platform/notices.rs
+++ b/crates/quartzdrift/src/platform/notices.rs
@@ -2,6 +2,7 @@
 //! per second.
 use super::Node;
 use quartzdrift_scheduler::interface::{Notice, WorkerStanding};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Most lines on workers in each [`WINDOW`]. Lines on the list itself are rare and not limited.
@@ -47,6 +48,7 @@
             }
             Notice::UsableWorkers { listed, usable } => self.log_usable_workers(listed, usable),
             Notice::WorkerStanding { worker, standing } => self.log_standing(&worker, standing),
+            Notice::WorkerReplaced { worker, address } => self.log_replaced_worker(&worker, address),
         }
     }
 
@@ -71,6 +73,13 @@
         );
     }
 
+    fn log_replaced_worker(&mut self, worker: &str, address: SocketAddr) {
+        self.counts.notices.replaced += 1;
+        if let Some(suppressed) = self.notice_limit.allow_line(self.now()) {
+            tracing::info!(%worker, %address, suppressed, "worker replaced: another one was listed at its address");
+        }
+    }
+
     fn log_standing(&mut self, worker: &str, standing: WorkerStanding) {
         self.counts.notices.count_standing(standing);
         if let Some(suppressed) = self.notice_limit.allow_line(self.now()) {
