Room for a client is made before it is accepted, without reading others

Callers saw answers seconds late, connections closed under requests that had been read, and refusals, while other clients withdrew requests, closed and came again; the process held up to 1,075 of 1,024 descriptors.

Cause: up to 64 connections were accepted in a turn, and for each up to 500 clients were read and processed to find one to close. What a client sent before its close kept its connection alive here. A client whose answer was still in the output buffer counted as idle.

Change: one connection at a time, only after there is room, for 5 ms a turn. One poll(2) tells without a read who has disconnected, who has unread input and who is silent. Disconnected clients go first, then silent ones that are owed nothing, those first that were never served. A close ends a pause in accepting. The same order in serve. Counts of evictions and the largest numbers of connections are logged. Accepting moved out of sockets.rs to a file of its own.

--- a/crates/quartzdrift-http/src/http.rs
+++ b/crates/quartzdrift-http/src/http.rs
@@ -167,7 +167,10 @@
     pub(crate) fn close(&mut self, id: SocketId) {
         let connection = self.sockets.close(id);
         match connection.map(|connection| connection.role) {
-            Some(Role::Server(_)) => self.client_count -= 1,
+            Some(Role::Server(_)) => {
+                self.client_count -= 1;
+                self.sockets.resume_accepting();
+            }
             Some(Role::Client(client)) => {
                 if let Some(call) = client.call {
                     self.calls.remove(&call);
--- a/crates/quartzdrift-http/src/server.rs
+++ b/crates/quartzdrift-http/src/server.rs
@@ -5,7 +5,9 @@
 use crate::http::{HasHttp, Http};
 use crate::messages::{Exchange, HttpEvent, Request, RequestError, Response};
 use crate::socket::{MAX_READ_BYTES, Socket};
-use crate::sockets::SocketId;
+use crate::sockets::{AcceptRound, PeerActivity, SocketId};
+use std::collections::VecDeque;
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// Time for which input is read and discarded after the last response, so that the client receives the
@@ -126,39 +128,53 @@
     /// clients if needed. Connections over the limit stay in the system's accept queue, since each may have
     /// sent a request.
     pub(crate) fn accept(&mut self) {
-        let limit = self.limits.connections;
-        for stream in self.sockets.accept(limit, self.client_count, is_idle) {
-            self.close_longest_idle_client();
-            let connection = Connection {
-                exchange_number: 0,
-                role: Role::Server(ServerState::Head { scanned: 0 }),
-            };
-            if let Ok(id) = self.sockets.insert(stream, connection) {
-                self.client_count += 1;
-                self.sockets.set_deadline(id, Some(self.limits.idle_timeout));
-            }
+        let Some(mut round) = self.sockets.begin_accepting() else {
+            return;
+        };
+        let mut idle_clients = None;
+        while self.has_room_for_client(&mut round, &mut idle_clients)
+            && let Some(stream) = self.sockets.accept_next(&mut round)
+        {
+            self.add_client(stream);
         }
+        self.sockets.end_accepting(&round, is_idle);
     }
 
-    /// If the limit of connections is reached, closes the client that has been idle longest to accept another
-    /// one. A client whose input the event loop has not reported yet is kept.
-    fn close_longest_idle_client(&mut self) {
-        for _ in 0..=self.client_count {
-            if self.client_count < self.limits.connections {
-                return;
-            }
-            let Some(idle) = self.sockets.longest_idle(is_idle) else {
-                return;
-            };
-            self.sockets.try_read(idle);
-            let has_input = self
-                .sockets
-                .get(idle)
-                .is_some_and(|socket| !socket.input.is_empty());
-            if !has_input {
-                self.close(idle);
+    fn add_client(&mut self, stream: TcpStream) {
+        let connection = Connection {
+            exchange_number: 0,
+            role: Role::Server(ServerState::Head { scanned: 0 }),
+        };
+        if let Ok(id) = self.sockets.insert(stream, connection) {
+            self.client_count += 1;
+            self.sockets.set_deadline(id, Some(self.limits.idle_timeout));
+        }
+    }
+
+    /// Whether another client can be accepted. If the limit of connections is reached and a client waits, closes
+    /// the one that has been idle longest. A client whose input the event loop has not reported yet is kept.
+    /// `idle_clients` keeps what was found in this round.
+    fn has_room_for_client(
+        &mut self,
+        round: &mut AcceptRound,
+        idle_clients: &mut Option<VecDeque<SocketId>>,
+    ) -> bool {
+        if self.client_count < self.limits.connections {
+            return true;
+        }
+        if !self.sockets.has_waiting_connection(round) {
+            return false;
+        }
+        let rank = |socket: &Socket<Connection>| is_idle(socket).then_some(());
+        let idle_clients = idle_clients.get_or_insert_with(|| self.sockets.survey(rank).silent);
+        while let Some(id) = idle_clients.pop_front() {
+            let is_silent = self.sockets.peer_activity(id) == Some(PeerActivity::Silent);
+            if is_silent && self.sockets.get(id).is_some_and(is_idle) {
+                self.close(id);
+                return self.client_count < self.limits.connections;
             }
         }
+        false
     }
 
     /// Closes a connection whose client has disconnected or exceeded a timeout. Reports the disconnection if
@@ -385,9 +401,10 @@
     }
 }
 
-/// Whether a connection is from a client and has received no part of a new request.
+/// Whether a connection is from a client that has sent no part of a new request, and to which no bytes are owed.
 fn is_idle(socket: &Socket<Connection>) -> bool {
-    matches!(socket.state.role, Role::Server(ServerState::Head { .. })) && socket.input.is_empty()
+    let awaits_request = matches!(socket.state.role, Role::Server(ServerState::Head { .. }));
+    awaits_request && socket.input.is_empty() && socket.unsent_bytes() == 0
 }
 
 fn has_connection_close(headers: &Headers) -> bool {
--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -3,7 +3,7 @@
 //! the others.
 //!
 //! The callbacks of the event loop only mark sockets as ready. After each iteration of the loop the owner
-//! accepts connections ([`Sockets::accept`]), processes the ready sockets ([`Sockets::take_ready`]), handles
+//! accepts connections ([`Sockets::begin_accepting`]), processes the ready sockets ([`Sockets::take_ready`]), handles
 //! the sockets whose deadline has passed ([`Sockets::take_overdue`]) and sends the output
 //! ([`Sockets::flush`]).
 use crate::socket::MAX_READ_BYTES;
@@ -17,14 +17,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+mod accept;
+mod eviction;
 #[cfg(test)]
 mod tests;
 
-/// Maximum calls of accept(2) in one iteration of the loop, so that a burst of connections does not delay the
-/// existing ones.
-const MAX_ACCEPTS_PER_ITERATION: usize = 64;
-/// Pause after an error or a limit that prevents all listeners from accepting.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+pub use accept::AcceptRound;
+pub use eviction::{PeerActivity, Survey};
 
 /// Identifies a socket. Ids are never reused, even if their slot in the slab is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -46,10 +45,9 @@
     ready_queue: VecDeque<SocketId>,
     flush_queue: VecDeque<SocketId>,
     deadlines: BTreeSet<(Instant, SocketId)>,
-    /// Whether the next [`Sockets::accept`] calls accept(2): a listener was reported as readable, or a pause
-    /// has ended.
+    /// Whether the next turn accepts: a listener was reported as readable, or a pause has ended.
     are_listeners_ready: bool,
-    /// Whether the last [`Sockets::accept`] that called accept(2) emptied the queues of all listeners.
+    /// Whether the last round of accepting emptied the queues of all listeners.
     accepted_all: bool,
     /// End of a pause in accepting; `None` if accepting is not paused.
     resume_accept_at: Option<Instant>,
@@ -142,93 +140,6 @@
         !self.listeners.is_empty()
     }
 
-    /// Whether the last [`Sockets::accept`] that called accept(2) left no connection waiting.
-    pub fn accepted_all(&self) -> bool {
-        self.accepted_all
-    }
-
-    /// Makes the next [`Sockets::accept`] call accept(2) even if the event loop has not reported a
-    /// connection.
-    pub fn mark_listeners_ready(&mut self) {
-        self.are_listeners_ready = true;
-    }
-
-    /// Accepts waiting connections with at most `MAX_ACCEPTS_PER_ITERATION` calls of accept(2).
-    ///
-    /// `open_count` is the number of open connections, and `limit` their maximum. Connections beyond the limit
-    /// are accepted only up to the number of idle sockets, which the caller closes in their place; the others
-    /// stay in the system's accept queue. If the process has no file descriptors left, the deadline of the longest idle socket is
-    /// set to now.
-    pub fn accept(
-        &mut self,
-        limit: usize,
-        open_count: usize,
-        is_idle: impl Fn(&Socket<T>) -> bool,
-    ) -> Vec<TcpStream> {
-        let mut accepted = Vec::new();
-        if !std::mem::take(&mut self.are_listeners_ready) {
-            return accepted;
-        }
-        self.accepted_all = false;
-        let idle_count = self.iter().filter(|(_, socket)| is_idle(socket)).count();
-        let max_accepted = (limit + idle_count).saturating_sub(open_count);
-        let (mut accept_calls, mut drained_listeners) = (0, 0);
-        for index in 0..self.listeners.len() {
-            while accept_calls < MAX_ACCEPTS_PER_ITERATION && accepted.len() < max_accepted {
-                accept_calls += 1;
-                match self.listeners[index].0.accept() {
-                    Ok((stream, _)) => accepted.push(stream),
-                    Err(e) => match AcceptError::classify(&e) {
-                        AcceptError::WouldBlock => {
-                            drained_listeners += 1;
-                            break;
-                        }
-                        AcceptError::ConnectionFailed => {}
-                        AcceptError::DescriptorLimit => {
-                            self.expire_longest_idle(&is_idle);
-                            self.pause_accepting();
-                            return accepted;
-                        }
-                        AcceptError::Other => {
-                            self.pause_accepting();
-                            return accepted;
-                        }
-                    },
-                }
-            }
-        }
-        self.accepted_all = drained_listeners == self.listeners.len();
-        if !self.accepted_all && accepted.is_empty() {
-            self.pause_accepting();
-        }
-        accepted
-    }
-
-    /// Sets the deadline of the longest idle socket to now, so that the owner closes it.
-    fn expire_longest_idle(&mut self, is_idle: impl Fn(&Socket<T>) -> bool) {
-        if let Some(id) = self.longest_idle(is_idle) {
-            self.set_deadline(id, Some(Duration::ZERO));
-        }
-    }
-
-    /// Disables the listeners for a while. Waiting connections that cannot be accepted keep a level-triggered
-    /// listener ready, and the event loop would spin.
-    fn pause_accepting(&mut self) {
-        for (_, token) in &self.listeners {
-            // An error means that the event loop is broken; its next dispatch reports that.
-            let _ = self.handle.disable(token);
-        }
-        self.resume_accept_at = Some(Instant::now() + ACCEPT_PAUSE);
-    }
-
-    /// Returns the idle socket that has received no bytes for the longest time.
-    pub fn longest_idle(&self, is_idle: impl Fn(&Socket<T>) -> bool) -> Option<SocketId> {
-        self.iter()
-            .filter(|(_, socket)| is_idle(socket))
-            .min_by_key(|(_, socket)| socket.last_received)
-            .map(|(id, _)| id)
-    }
-
     /// Adds a stream that is connected or connecting, and registers it with the event loop.
     ///
     /// # Errors
@@ -313,7 +224,7 @@
         }
     }
 
-    /// Whether a socket is in the ready queue or [`Sockets::accept`] would call accept(2).
+    /// Whether a socket is in the ready queue or a round of accepting is due.
     pub fn is_ready(&self) -> bool {
         !self.ready_queue.is_empty() || self.are_listeners_ready
     }
@@ -424,12 +335,8 @@
     /// Takes the sockets whose deadline has passed and removes their deadlines. Also ends a pause in
     /// accepting.
     pub fn take_overdue(&mut self, now: Instant) -> Vec<SocketId> {
-        if self.resume_accept_at.take_if(|at| *at <= now).is_some() {
-            for (_, token) in &self.listeners {
-                // An error means that the event loop is broken; its next dispatch reports that.
-                let _ = self.handle.enable(token);
-            }
-            self.are_listeners_ready = true;
+        if self.resume_accept_at.is_some_and(|at| at <= now) {
+            self.resume_accepting();
         }
         let mut overdue = Vec::new();
         while let Some(&(at, id)) = self.deadlines.first().filter(|(at, _)| *at <= now) {
@@ -470,42 +377,6 @@
     }
 }
 
-/// Classes of accept(2) errors, by the way they are handled.
-enum AcceptError {
-    /// No connection waits to be accepted.
-    WouldBlock,
-    /// The connection failed before it was accepted, or the call was interrupted. Other connections may wait.
-    ConnectionFailed,
-    /// The process has reached its limit of file descriptors (EMFILE).
-    DescriptorLimit,
-    /// The system lacks resources, or another error prevents accepting.
-    Other,
-}
-
-impl AcceptError {
-    fn classify(error: &io::Error) -> AcceptError {
-        match error.raw_os_error().unwrap_or_default() {
-            libc::EAGAIN => AcceptError::WouldBlock,
-            libc::EMFILE => AcceptError::DescriptorLimit,
-            // Linux returns pending network errors of the new connection from accept(2).
-            libc::EINTR
-            | libc::ECONNABORTED
-            | libc::EPROTO
-            | libc::ENOPROTOOPT
-            | libc::EOPNOTSUPP
-            | libc::ENETDOWN
-            | libc::ENETUNREACH
-            | libc::EHOSTDOWN
-            | libc::EHOSTUNREACH
-            | libc::ENONET
-            | libc::ETIMEDOUT
-            | libc::ECONNRESET
-            | libc::EPERM => AcceptError::ConnectionFailed,
-            _ => AcceptError::Other,
-        }
-    }
-}
-
 /// Returns a socket unless it is closed. Unlike [`Sockets::get_mut`], borrows only the slab.
 fn find_socket<T>(sockets: &mut Slab<Socket<T>>, id: SocketId) -> Option<&mut Socket<T>> {
     sockets
--- a/crates/quartzdrift-http/src/sockets/tests.rs
+++ b/crates/quartzdrift-http/src/sockets/tests.rs
@@ -96,3 +96,71 @@
     );
     assert!(!socket.remove_unsent(0, 4), "these bytes were sent");
 }
+
+/// Guards against a connection that is closed to make room although bytes are owed to its peer, or its peer has
+/// sent some that were not read; and against one that is kept for the unread input of a peer that has gone.
+#[test]
+fn only_silent_peers_without_unsent_output_and_disconnected_ones_make_room() {
+    const TOO_MUCH_FOR_THE_SYSTEM: usize = 64 << 20;
+    let event_loop = EventLoop::<Owner>::try_new().unwrap();
+    let mut owner = Owner {
+        sockets: Sockets::new(event_loop.handle(), |owner| &mut owner.sockets),
+    };
+    let (unsent, _unsent_peer) = connected(&mut owner);
+    let (sent, mut sent_peer) = connected(&mut owner);
+    let (first, _first_peer) = connected(&mut owner);
+    let (second, _second_peer) = connected(&mut owner);
+    let (gone, mut gone_peer) = connected(&mut owner);
+    let (unranked, _unranked_peer) = connected(&mut owner);
+    let output = owner.sockets.output(unsent).unwrap();
+    output.resize(TOO_MUCH_FOR_THE_SYSTEM, 1);
+    owner.sockets.flush_socket(unsent);
+    io::Write::write_all(&mut sent_peer, b"request").unwrap();
+    io::Write::write_all(&mut gone_peer, b"request").unwrap();
+    gone_peer.shutdown(Shutdown::Both).unwrap();
+    while owner.sockets.peer_activity(sent) != Some(PeerActivity::HasSent)
+        || owner.sockets.peer_activity(gone) != Some(PeerActivity::Disconnected)
+    {
+        std::thread::yield_now();
+    }
+    let unranked_serial = owner.sockets.get(unranked).unwrap().serial;
+    let survey = owner
+        .sockets
+        .survey(|socket| (socket.serial != unranked_serial).then_some(0));
+    assert_eq!(survey.silent, [first, second]);
+    assert_eq!(survey.disconnected, [gone]);
+    let first_serial = owner.sockets.get(first).unwrap().serial;
+    let survey = owner
+        .sockets
+        .survey(|socket| Some(u8::from(socket.serial == first_serial)));
+    assert_eq!(survey.silent, [second, unranked, first]);
+}
+
+/// Guards against connections that are accepted before there is room for them, and against a listener that is
+/// taken for empty although connections wait.
+#[test]
+fn each_connection_is_accepted_by_a_call_of_its_own() {
+    let event_loop = EventLoop::<Owner>::try_new().unwrap();
+    let mut owner = Owner {
+        sockets: Sockets::new(event_loop.handle(), |owner| &mut owner.sockets),
+    };
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    owner.sockets.listen(listener).unwrap();
+    let peers: Vec<TcpStream> = (0..3).map(|_| TcpStream::connect(address).unwrap()).collect();
+    owner.sockets.mark_listeners_ready();
+    let mut round = owner.sockets.begin_accepting().unwrap();
+    let accepted = owner.sockets.accept_next(&mut round).unwrap();
+    assert_eq!(accepted.peer_addr().unwrap(), peers[0].local_addr().unwrap());
+    assert!(owner.sockets.has_waiting_connection(&mut round));
+    owner.sockets.end_accepting(&round, |_| false);
+    assert!(!owner.sockets.accepted_all(), "two connections wait");
+    owner.sockets.mark_listeners_ready();
+    let mut round = owner.sockets.begin_accepting().unwrap();
+    assert!(owner.sockets.accept_next(&mut round).is_some());
+    assert!(owner.sockets.accept_next(&mut round).is_some());
+    assert!(!owner.sockets.has_waiting_connection(&mut round));
+    owner.sockets.end_accepting(&round, |_| false);
+    assert!(owner.sockets.accepted_all());
+    assert!(owner.sockets.begin_accepting().is_none());
+}
--- a/crates/quartzdrift-lab/tests/soak/evaluation.rs
+++ b/crates/quartzdrift-lab/tests/soak/evaluation.rs
@@ -117,6 +117,11 @@
         .then(|| format!("killed with {peak_mb:.1} MB of private memory, above {limit_mb} MB"))
 }
 
+/// Checks that the scheduler held no more descriptors than its configuration states.
+pub fn descriptor_excess(peak: usize, limit: usize) -> Option<String> {
+    (peak > limit).then(|| format!("{peak} descriptors, above {limit}"))
+}
+
 /// Checks that the scheduler answered each request that it read; returns the violation, if any. It may have
 /// read any number of the requests whose connections the clients closed. `received`: number of complete
 /// requests that the scheduler read, as it logs at its exit.
--- a/crates/quartzdrift-lab/tests/soak/flood.rs
+++ b/crates/quartzdrift-lab/tests/soak/flood.rs
@@ -5,10 +5,11 @@
 use quartzdrift_lab::cluster_harness::request_fields;
 use quartzdrift_lab::platform::{Frontend, RequestFields};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 /// Open requests that the protocol allows on one connection.
 const REQUESTS_PER_CONNECTION: u16 = 32;
@@ -19,6 +20,10 @@
 /// Client timeout of a request that is never to be served, in milliseconds.
 const SHORT_TIMEOUT_MS: &str = "20";
 
+/// Bursts that a reconnecting client sends on a connection, and the pause after each.
+const BURSTS_PER_CONNECTION: usize = 50;
+const BURST_PAUSE: Duration = Duration::from_millis(5);
+
 /// What the clients of a flood send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FloodKind {
@@ -34,17 +39,20 @@
     Ceaseless,
     /// Complete requests, each followed by its abort, without a pause.
     CeaselessWithdrawn,
+    /// The same in bursts, after which the client closes the connection and opens another one.
+    Reconnecting,
 }
 
 impl FloodKind {
     /// All kinds, for seeded scenarios.
-    pub const ALL: [FloodKind; 6] = [
+    pub const ALL: [FloodKind; 7] = [
         FloodKind::Withdrawn,
         FloodKind::UnfinishedBodies,
         FloodKind::UnfinishedParams,
         FloodKind::LargeBodies,
         FloodKind::Ceaseless,
         FloodKind::CeaselessWithdrawn,
+        FloodKind::Reconnecting,
     ];
 
     /// Whether a client waits for the responses to its requests before it sends the next ones.
@@ -52,9 +60,14 @@
         matches!(self, FloodKind::Withdrawn | FloodKind::LargeBodies)
     }
 
-    /// Whether a client sends without a pause.
+    /// Whether a client sends without waiting for the scheduler.
     fn is_ceaseless(self) -> bool {
-        matches!(self, FloodKind::Ceaseless | FloodKind::CeaselessWithdrawn)
+        self.withdraws_each() || self == FloodKind::Ceaseless
+    }
+
+    /// Whether each request is followed by its abort.
+    fn withdraws_each(self) -> bool {
+        matches!(self, FloodKind::CeaselessWithdrawn | FloodKind::Reconnecting)
     }
 }
 
@@ -118,8 +131,16 @@
         let mut unread = stream.try_clone()?;
         thread::spawn(move || io::copy(&mut unread, &mut io::sink()));
         let batch = encode_batch(kind, next_id);
+        let mut bursts = 0;
         while !stop.load(Ordering::Relaxed) {
             stream.write_all(&batch)?;
+            bursts += 1;
+            if kind == FloodKind::Reconnecting {
+                thread::sleep(BURST_PAUSE);
+                if bursts == BURSTS_PER_CONNECTION {
+                    return stream.shutdown(Shutdown::Both);
+                }
+            }
         }
         return Ok(());
     }
@@ -146,7 +167,7 @@
             next_id.fetch_add(1, Ordering::Relaxed),
             &mut out,
         );
-        if kind == FloodKind::CeaselessWithdrawn {
+        if kind.withdraws_each() {
             out.extend(Frontend::encode_abort(fastcgi_id));
         }
     }
@@ -178,7 +199,10 @@
         record
     };
     match kind {
-        FloodKind::Withdrawn | FloodKind::LargeBodies | FloodKind::CeaselessWithdrawn => {
+        FloodKind::Withdrawn
+        | FloodKind::LargeBodies
+        | FloodKind::CeaselessWithdrawn
+        | FloodKind::Reconnecting => {
             out.extend(Frontend::encode_request(fastcgi_id, &fields));
         }
         FloodKind::UnfinishedBodies => {
--- a/crates/quartzdrift-lab/tests/soak/main.rs
+++ b/crates/quartzdrift-lab/tests/soak/main.rs
@@ -8,7 +8,7 @@
 mod client;
 mod evaluation;
 mod flood;
-mod memory;
+mod resources;
 mod run;
 mod seeds;
 mod stalls;
@@ -108,6 +108,16 @@
     }
 }
 
+/// Guards against a turn that is spent on making room for clients that come again and again, against answers that
+/// are dropped with a client that is closed for it, and against more descriptors than the limit.
+#[test]
+fn clients_that_withdraw_requests_and_reconnect_cost_others_no_response() {
+    let _processors = take_processors();
+    for clients in [20, 100, 160] {
+        assert_served_beside_flood(FloodKind::Reconnecting, clients, 48, Duration::from_secs(4));
+    }
+}
+
 #[test]
 fn seeded_runs_break_no_rule() {
     let _processors = take_processors();
--- a/crates/quartzdrift-lab/tests/soak/memory.rs
+++ b/crates/quartzdrift-lab/tests/soak/resources.rs
@@ -1,5 +1,5 @@
-//! Measures the private memory of the scheduler process, and kills the process above a limit, as the platform
-//! does.
+//! Measures the private memory and the descriptors of the scheduler process, and kills the process above its
+//! memory limit, as the platform does.
 use quartzdrift_lab::cluster_harness::send_signal;
 use quartzdrift_lab::measure::memory_mb;
 use std::sync::Arc;
@@ -10,44 +10,59 @@
 /// Time between two measurements.
 const INTERVAL: Duration = Duration::from_millis(5);
 
+/// The largest values that were measured.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Peaks {
+    /// Private memory in megabytes.
+    pub memory_mb: f64,
+    /// Open file descriptors.
+    pub descriptors: usize,
+}
+
 /// Measures on a thread of its own until it is stopped or the process has ended.
-pub struct MemoryWatch {
+pub struct ResourceWatch {
     stop_requested: Arc<AtomicBool>,
-    thread: JoinHandle<f64>,
+    thread: JoinHandle<Peaks>,
 }
 
-impl MemoryWatch {
+impl ResourceWatch {
     /// Watches a process with a limit in megabytes.
-    pub fn start(process: u32, limit_mb: f64) -> MemoryWatch {
+    pub fn start(process: u32, limit_mb: f64) -> ResourceWatch {
         let stop_requested = Arc::new(AtomicBool::new(false));
         let stop = stop_requested.clone();
         let thread = thread::spawn(move || {
-            let mut peak_mb: f64 = 0.0;
+            let mut peaks = Peaks::default();
             while let Some(memory_mb) = private_mb(process)
                 && !stop.load(Ordering::Relaxed)
             {
-                peak_mb = peak_mb.max(memory_mb);
+                peaks.memory_mb = peaks.memory_mb.max(memory_mb);
+                peaks.descriptors = peaks.descriptors.max(open_descriptors(process));
                 if memory_mb > limit_mb {
                     send_signal("-KILL", process);
                     break;
                 }
                 thread::sleep(INTERVAL);
             }
-            peak_mb
+            peaks
         });
-        MemoryWatch {
+        ResourceWatch {
             stop_requested,
             thread,
         }
     }
 
-    /// Returns the highest private memory of the process, in megabytes.
-    pub fn stop(self) -> f64 {
+    /// Returns the largest values of the process.
+    pub fn stop(self) -> Peaks {
         self.stop_requested.store(true, Ordering::Relaxed);
-        self.thread.join().expect("the memory watch must not panic")
+        self.thread.join().expect("the watch must not panic")
     }
 }
 
+/// Number of open file descriptors of a process; 0 if it has ended.
+fn open_descriptors(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
+}
+
 /// Private memory of a process, in megabytes: anonymous and shared pages, without those of its files. `None`
 /// if the process has ended.
 fn private_mb(process: u32) -> Option<f64> {
--- a/crates/quartzdrift-lab/tests/soak/run.rs
+++ b/crates/quartzdrift-lab/tests/soak/run.rs
@@ -2,7 +2,7 @@
 use super::client::{self, Client, RequestOutcome, RequestRecord};
 use super::evaluation::{self, Observations};
 use super::flood::{Flood, FloodKind, RunningFlood};
-use super::memory::MemoryWatch;
+use super::resources::{Peaks, ResourceWatch};
 use super::stalls::StallMeter;
 use super::worker::{self, AttemptRecord, WorkerThread};
 use quartzdrift_lab::cluster_harness::{ClusterHarness, send_signal};
@@ -15,6 +15,8 @@
 /// SIGKILL may come this long after the deadline that starts at SIGTERM.
 const KILL_DELAY: Duration = Duration::from_millis(700);
 const WORKERS: usize = 3;
+/// Limit of the scheduler's descriptors beside a flood.
+const FLOOD_DESCRIPTORS: usize = 1024;
 /// Smaller reserve of a deadline for the response than in other tests, as in deployments, because the
 /// deadlines here are short.
 const SHORT_SLACK: (&str, &str) = ("\"answer-slack-ns\":50000000", "\"answer-slack-ns\":8000000");
@@ -181,9 +183,9 @@
     let crowd: Vec<TcpStream> = (0..scenario.crowd)
         .filter_map(|_| TcpStream::connect(cluster.address).ok())
         .collect();
-    let memory = scenario.flood.map(|(_, limit_mb)| {
+    let resources = scenario.flood.map(|(_, limit_mb)| {
         (
-            MemoryWatch::start(cluster.process_id(), limit_mb.into()),
+            ResourceWatch::start(cluster.process_id(), limit_mb.into()),
             limit_mb,
         )
     });
@@ -201,7 +203,7 @@
     cluster.kill();
     let has_flood = flood.is_some();
     flood.into_iter().for_each(RunningFlood::stop);
-    let memory = memory.map(|(watch, limit_mb)| (watch.stop(), f64::from(limit_mb)));
+    let resources = resources.map(|(watch, limit_mb)| (watch.stop(), f64::from(limit_mb)));
     let requests: Vec<RequestRecord> = clients.into_iter().flat_map(|c| c.join().unwrap()).collect();
     let attempts: Vec<AttemptRecord> = workers.into_iter().flat_map(WorkerThread::stop).collect();
     drop(crowd);
@@ -219,9 +221,15 @@
         violations.extend(evaluation::unanswered(&requests, logged_count(&log, "received")));
         violations.extend(evaluation::discarded(logged_count(&log, "discarded_bytes")));
     }
-    violations.extend(memory.and_then(|(peak_mb, limit_mb)| evaluation::memory_excess(peak_mb, limit_mb)));
+    if let Some((peaks, limit_mb)) = resources {
+        violations.extend(evaluation::memory_excess(peaks.memory_mb, limit_mb));
+        violations.extend(evaluation::descriptor_excess(
+            peaks.descriptors,
+            FLOOD_DESCRIPTORS,
+        ));
+    }
     Report {
-        summary: summary(&requests, &attempts, memory, &violations),
+        summary: summary(&requests, &attempts, resources, &violations),
         violations,
     }
 }
@@ -230,7 +238,7 @@
     let deadline = format!("\"deadline-ns\":{}", scenario.deadline.as_nanos());
     let limits = scenario
         .flood
-        .map(|(_, limit_mb)| format!("\"sockets\":1024,\"memory_mb\":{limit_mb}"));
+        .map(|(_, limit_mb)| format!("\"sockets\":{FLOOD_DESCRIPTORS},\"memory_mb\":{limit_mb}"));
     let mut changes = vec![("\"deadline-ns\":60000000000", deadline.as_str()), SHORT_SLACK];
     changes.extend(limits.as_deref().map(|limits| ("\"sockets\":128", limits)));
     ClusterHarness::with_config_changes(env!("CARGO_BIN_EXE_quartzdrift-lab"), WORKERS, &changes)
@@ -267,14 +275,20 @@
 fn summary(
     requests: &[RequestRecord],
     attempts: &[AttemptRecord],
-    memory: Option<(f64, f64)>,
+    resources: Option<(Peaks, f64)>,
     violations: &[String],
 ) -> String {
     let served = |r: &&RequestRecord| matches!(r.outcome, RequestOutcome::Answered { status: 200, .. });
     let lost = |r: &&RequestRecord| matches!(r.outcome, RequestOutcome::ConnectionLost { .. });
-    let memory = memory.map_or_else(String::new, |(peak, limit)| format!(", {peak:.1} of {limit} MB"));
+    let resources = resources.map_or_else(String::new, |(peaks, limit_mb)| {
+        let Peaks {
+            memory_mb,
+            descriptors,
+        } = peaks;
+        format!(", {memory_mb:.1} of {limit_mb} MB, {descriptors} of {FLOOD_DESCRIPTORS} descriptors")
+    });
     format!(
-        "{} requests, {} served, {} lost their connection, {} attempts{memory}, {} violations",
+        "{} requests, {} served, {} lost their connection, {} attempts{resources}, {} violations",
         requests.len(),
         requests.iter().filter(served).count(),
         requests.iter().filter(lost).count(),
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -1,39 +1,63 @@
-//! Accepts clients, and closes idle ones to make room for them.
+//! Accepts clients, and closes others to make room for them.
 use super::client_connection::{Client, RECEIVE_TIMEOUT, is_evictable};
 use super::memory::RequestBytes;
 use super::{Node, Peer};
-use quartzdrift_http::sockets::SocketId;
-use std::time::Duration;
+use quartzdrift_http::sockets::{AcceptRound, PeerActivity, Socket, SocketId, Survey};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 /// After a start, clients are accepted once the coordinator has confirmed the list of workers, or after this
 /// time. The coordinator usually answers within milliseconds, and no request can be sent to a worker before.
 const COORDINATOR_WAIT: Duration = Duration::from_millis(250);
+/// Time in a turn after which no further client is accepted or closed to make room. The others wait in the
+/// listener's queue for the next turns.
+const MAX_ACCEPT_TIME: Duration = Duration::from_millis(5);
+
+/// Whether a client was ever served. Of the silent clients, those that were not are closed first.
+fn was_served(socket: &Socket<Peer>) -> Option<bool> {
+    match &socket.state {
+        Peer::Client(client) => Some(client.was_served),
+        Peer::WorkerConnection(_) => None,
+    }
+}
 
 impl Node {
-    /// Accepts waiting clients as long as there is room or an idle client can be closed to make room. The
-    /// others stay in the listener's queue instead of being refused, since each may have sent a request.
+    /// Accepts waiting clients as long as there is room or a client can be closed to make room. The others stay
+    /// in the listener's queue instead of being refused, since each may have sent a request.
     pub(super) fn accept_clients(&mut self) {
+        let earliest_arrival = self.loop_delay.earliest_arrival();
         if self.accept_start().is_some_and(|at| self.now() < at) {
-            let earliest_arrival = self.loop_delay.earliest_arrival();
             self.unaccepted_since.get_or_insert(earliest_arrival);
             return;
         }
-        let streams = self
-            .sockets
-            .accept(self.budget.clients, self.client_count, is_evictable);
-        let earliest_arrival = self.loop_delay.earliest_arrival();
         let arrived = self.unaccepted_since.unwrap_or(earliest_arrival);
+        if let Some(mut round) = self.sockets.begin_accepting() {
+            self.accept_while_there_is_room(&mut round, arrived);
+            self.sockets.end_accepting(&round, is_evictable);
+        }
         self.unaccepted_since = (!self.sockets.accepted_all()).then_some(arrived);
-        for stream in streams {
-            // `accept` relies on closing an idle client. If data from that client has just arrived, the
-            // client is kept, and the number of clients exceeds the limit by one for a while.
-            self.make_room_for_client();
-            let request_bytes = RequestBytes::new(self.unowned_bytes.clone());
-            let client = Client::new(arrived, request_bytes);
-            if let Ok(id) = self.sockets.insert(stream, Peer::Client(client)) {
-                self.client_count += 1;
-                self.sockets.set_deadline(id, Some(RECEIVE_TIMEOUT));
-            }
+    }
+
+    /// Accepts clients for a bounded time. Room for each is made before it is accepted, so the number of clients
+    /// never exceeds its limit.
+    fn accept_while_there_is_room(&mut self, round: &mut AcceptRound, arrived: Instant) {
+        let end = Instant::now() + MAX_ACCEPT_TIME;
+        let mut survey = None;
+        while Instant::now() < end && self.has_room_for_client(round, &mut survey, end) {
+            let Some(stream) = self.sockets.accept_next(round) else {
+                return;
+            };
+            self.add_client(stream, arrived);
+        }
+    }
+
+    fn add_client(&mut self, stream: TcpStream, arrived: Instant) {
+        let request_bytes = RequestBytes::new(self.unowned_bytes.clone());
+        let client = Client::new(arrived, request_bytes);
+        if let Ok(id) = self.sockets.insert(stream, Peer::Client(client)) {
+            self.client_count += 1;
+            self.counts.max_clients = self.counts.max_clients.max(self.client_count);
+            self.sockets.set_deadline(id, Some(RECEIVE_TIMEOUT));
         }
     }
 
@@ -44,18 +68,48 @@
         is_unconfirmed.then(|| self.started_at + COORDINATOR_WAIT)
     }
 
-    /// If the client limit is reached, closes the evictable client that has sent nothing for longest, unless
-    /// data from it has arrived that the event loop has not reported yet.
-    fn make_room_for_client(&mut self) {
-        for _ in 0..=self.client_count {
-            if self.client_count < self.budget.clients {
-                return;
-            }
-            let Some(evicted) = self.sockets.longest_idle(is_evictable) else {
-                return;
-            };
-            if !self.read_pending_input(evicted) {
-                self.drop_client(evicted);
+    /// Whether another client can be accepted. If the client limit is reached and a client waits, closes others
+    /// until `end`: first those that have disconnected, then an idle one. `survey` keeps what was found in this
+    /// turn.
+    fn has_room_for_client(
+        &mut self,
+        round: &mut AcceptRound,
+        survey: &mut Option<Survey>,
+        end: Instant,
+    ) -> bool {
+        if self.client_count < self.budget.clients {
+            return true;
+        }
+        if !self.sockets.has_waiting_connection(round) {
+            return false;
+        }
+        let survey = survey.get_or_insert_with(|| self.sockets.survey(was_served));
+        self.close_disconnected_clients(survey, end);
+        if self.client_count >= self.budget.clients {
+            self.evict_idle_client(survey);
+        }
+        self.client_count < self.budget.clients
+    }
+
+    /// Closes clients that have disconnected. No answer is owed to them, whatever they sent before.
+    fn close_disconnected_clients(&mut self, survey: &mut Survey, end: Instant) {
+        while Instant::now() < end
+            && let Some(id) = survey.disconnected.pop_front()
+        {
+            self.counts.evictions.disconnected += 1;
+            self.close_client(id);
+        }
+    }
+
+    /// Closes the first idle client that is still idle.
+    fn evict_idle_client(&mut self, survey: &mut Survey) {
+        while let Some(id) = survey.silent.pop_front() {
+            let idle = self.sockets.get(id).filter(|socket| is_evictable(socket));
+            let was_served = idle.and_then(was_served);
+            let is_silent = self.sockets.peer_activity(id) == Some(PeerActivity::Silent);
+            if let Some(was_served) = was_served.filter(|_| is_silent) {
+                self.counts.evictions.count_idle(was_served);
+                return self.drop_client(id);
             }
         }
     }
--- a/crates/quartzdrift/src/platform/client_connection.rs
+++ b/crates/quartzdrift/src/platform/client_connection.rs
@@ -53,6 +53,8 @@
     /// Earliest time at which the first unread byte in the system's buffer may have arrived; `None` if the
     /// buffer was empty.
     unread_since: Option<Instant>,
+    /// Whether the client has received the response of a worker.
+    pub(super) was_served: bool,
     /// Whether the last read left input in the system's buffer.
     pub(super) is_backlogged: bool,
     /// Bytes that the memory budget counts for the client.
@@ -71,6 +73,7 @@
             deadline: DeadlineReason::FirstRequest,
             partial_request: None,
             unread_since: Some(arrived),
+            was_served: false,
             is_backlogged: false,
             accounted_bytes: 0,
             request_bytes,
@@ -86,11 +89,14 @@
     }
 }
 
-/// Whether a socket belongs to a client without an open request, which may be closed to make room for another
-/// client.
+/// Whether a socket belongs to a client without an open request to which no bytes are owed. It may be closed to make
+/// room for another client.
 pub(super) fn is_evictable(socket: &Socket<Peer>) -> bool {
     match &socket.state {
-        Peer::Client(client) => client.requests.is_empty() && client.deadline != DeadlineReason::Closing,
+        Peer::Client(client) => {
+            let is_closing = client.deadline == DeadlineReason::Closing;
+            client.requests.is_empty() && socket.unsent_bytes() == 0 && !is_closing
+        }
         Peer::WorkerConnection(_) => false,
     }
 }
@@ -307,13 +313,14 @@
             return;
         }
         let blocked_since = self.sockets.get(id).and_then(Socket::write_blocked_since);
+        let may_evict = self.sockets.get(id).is_some_and(is_evictable);
         let Some(client) = find_client(&mut self.sockets, id) else {
             return;
         };
         match client.deadline {
             // A socket without a deadline expires only when the process is out of descriptors: this client is
             // closed so that another one can be accepted.
-            DeadlineReason::None if !has_arrived && client.requests.is_empty() => self.drop_client(id),
+            DeadlineReason::None if !has_arrived && may_evict => self.drop_client(id),
             DeadlineReason::None => {}
             DeadlineReason::UnreadAnswers => self.unread_answers_timed_out(id, blocked_since),
             // The connection has other open requests, which are answered first.
@@ -359,6 +366,7 @@
             return;
         };
         self.client_count -= 1;
+        self.sockets.resume_accepting();
         self.release_held_bytes(client.accounted_bytes, &client.request_bytes);
         client
             .requests
--- a/crates/quartzdrift/src/platform/connections.rs
+++ b/crates/quartzdrift/src/platform/connections.rs
@@ -103,6 +103,8 @@
             .map_err(|error| loss_of_connect_error(&error))?;
         self.worker_connection_count += 1;
         self.counts.connections += 1;
+        let connections = self.worker_connection_count;
+        self.counts.max_worker_connections = self.counts.max_worker_connections.max(connections);
         self.sockets.set_deadline(id, Some(self.connect_timeout()));
         if let Some(entry) = self.workers.get_mut(worker) {
             entry.connections.push(id);
--- a/crates/quartzdrift/src/platform/counts.rs
+++ b/crates/quartzdrift/src/platform/counts.rs
@@ -90,6 +90,29 @@
     }
 }
 
+/// Clients that were closed to make room for others, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EvictionCounts {
+    /// Clients that had disconnected, possibly with unread input.
+    pub disconnected: u64,
+    /// Idle clients that never received the response of a worker.
+    pub never_served: u64,
+    /// Idle clients that did.
+    pub served: u64,
+}
+
+impl EvictionCounts {
+    /// Counts an idle client.
+    pub(super) fn count_idle(&mut self, was_served: bool) {
+        let count = if was_served {
+            &mut self.served
+        } else {
+            &mut self.never_served
+        };
+        *count += 1;
+    }
+}
+
 /// Counts since the start, logged when the scheduler stops.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -113,6 +136,12 @@
     pub invalid: u64,
     /// Client connections that were closed because of a protocol error, a timeout or the client limit.
     pub dropped: u64,
+    /// Clients that were closed to make room for others, by reason.
+    pub evictions: EvictionCounts,
+    /// Largest number of clients at the same time.
+    pub max_clients: usize,
+    /// Largest number of connections to workers at the same time.
+    pub max_worker_connections: usize,
     /// Requests that were refused because the memory for clients was full.
     pub refused_without_memory: u64,
     /// Client connections that were closed because their unread responses filled the memory for clients.
--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -32,6 +32,6 @@
 mod worker_connection;
 mod workers;
 
-pub use counts::{Counts, NoticeCounts, PollCounts, RejectionCounts};
+pub use counts::{Counts, EvictionCounts, NoticeCounts, PollCounts, RejectionCounts};
 use node::Peer;
 pub use node::{Node, RequestContext};
--- a/crates/quartzdrift/src/platform/node.rs
+++ b/crates/quartzdrift/src/platform/node.rs
@@ -420,6 +420,9 @@
             sockets = ?longest.sockets,
             deadlines = ?longest.deadlines,
             flush = ?longest.flush,
+            max_clients = self.counts.max_clients,
+            max_worker_connections = self.counts.max_worker_connections,
+            evictions = ?self.counts.evictions,
             client_checks = self.counts.client_checks,
             withheld_commands = self.counts.withheld_commands,
             "longest turn and its parts"
--- a/crates/quartzdrift/src/platform/responses.rs
+++ b/crates/quartzdrift/src/platform/responses.rs
@@ -100,7 +100,12 @@
         let (socket, request_id) = (context.client, context.request_id);
         match answer {
             FinalResponse::Succeeded => match body {
-                Some(body) => self.respond_with_body(socket, request_id, 200, &body, None),
+                Some(body) => {
+                    if let Some(client) = find_client(&mut self.sockets, socket) {
+                        client.was_served = true;
+                    }
+                    self.respond_with_body(socket, request_id, 200, &body, None);
+                }
                 None => self.respond(socket, request_id, 500, "no answer", None),
             },
             FinalResponse::Rejected { retry_after, .. } => {
