--- a/crates/quartzdrift/src/platform/mod.rs
+++ b/crates/quartzdrift/src/platform/mod.rs
@@ -8,7 +8,7 @@
 //! * `workers`, `connections`, `worker_connection`: the table of workers and their connections.
 //! * `commands`, `answers`: sending attempts over connections and reading their results.
 //! * `flush`: sending output, and commands only of clients without unread input.
-//! * `coordinator`: following the list of workers.
+//! * `coordinator`, `endpoint_updates`: following the list of workers, and applying its changes.
 //! * `memory`: the budget of the memory that is held for clients.
 //! * `shutdown`, `closing`: the phases of a graceful shutdown, and closing clients' connections during it.
 //! * `counts`, `notices`, `turn_times`: counts and times for the log, and log lines on the endpoint list.
@@ -20,6 +20,7 @@
 mod connections;
 mod coordinator;
 mod counts;
+mod endpoint_updates;
 mod flush;
 mod memory;
 mod node;
