--- a/crates/quartzdrift-http/src/sockets/accept.rs
+++ b/crates/quartzdrift-http/src/sockets/accept.rs
@@ -27,6 +27,7 @@
     accepted: usize,
     is_out_of_descriptors: bool,
     has_failed: bool,
+    is_out_of_time: bool,
 }
 
 impl<S: 'static, T: 'static> Sockets<S, T> {
@@ -83,7 +84,8 @@
         if round.is_out_of_descriptors {
             self.expire_longest_idle(is_idle);
         }
-        if round.has_failed || !self.accepted_all && round.accepted == 0 {
+        let has_no_room = !self.accepted_all && round.accepted == 0 && !round.is_out_of_time;
+        if round.has_failed || has_no_room {
             self.pause_accepting();
         }
     }
@@ -121,6 +123,11 @@
 }
 
 impl AcceptRound {
+    /// Records that the owner's time for the round is over, so that the next one follows without a pause.
+    pub fn mark_out_of_time(&mut self) {
+        self.is_out_of_time = true;
+    }
+
     fn record_error(&mut self, error: &io::Error) {
         match AcceptError::classify(error) {
             AcceptError::WouldBlock => self.listener += 1,
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -43,11 +43,14 @@
     fn accept_while_there_is_room(&mut self, round: &mut AcceptRound, arrived: Instant) {
         let end = Instant::now() + MAX_ACCEPT_TIME;
         let mut survey = None;
-        while Instant::now() < end && self.has_room_for_client(round, &mut survey, end) {
+        while self.has_room_for_client(round, &mut survey, end) {
             let Some(stream) = self.sockets.accept_next(round) else {
                 return;
             };
             self.add_client(stream, arrived);
+            if Instant::now() >= end {
+                return round.mark_out_of_time();
+            }
         }
     }
 
@@ -85,6 +88,9 @@
         }
         let survey = survey.get_or_insert_with(|| self.sockets.survey(was_served));
         self.close_disconnected_clients(survey, end);
+        if Instant::now() >= end {
+            round.mark_out_of_time();
+        }
         if self.client_count >= self.budget.clients {
             self.evict_idle_client(survey);
         }
