--- a/crates/quartzdrift-http/src/server.rs
+++ b/crates/quartzdrift-http/src/server.rs
@@ -5,8 +5,7 @@
 use crate::http::{HasHttp, Http};
 use crate::messages::{Exchange, HttpEvent, Request, RequestError, Response};
 use crate::socket::{MAX_READ_BYTES, Socket};
-use crate::sockets::{AcceptRound, PeerActivity, SocketId};
-use std::collections::VecDeque;
+use crate::sockets::{AcceptRound, SocketId, Survey};
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -131,8 +130,8 @@
         let Some(mut round) = self.sockets.begin_accepting() else {
             return;
         };
-        let mut idle_clients = None;
-        while self.has_room_for_client(&mut round, &mut idle_clients)
+        let mut survey = None;
+        while self.has_room_for_client(&mut round, &mut survey)
             && let Some(stream) = self.sockets.accept_next(&mut round)
         {
             self.add_client(stream);
@@ -153,12 +152,8 @@
 
     /// Whether another client can be accepted. If the limit of connections is reached and a client waits, closes
     /// the one that has been idle longest. A client whose input the event loop has not reported yet is kept.
-    /// `idle_clients` keeps what was found in this round.
-    fn has_room_for_client(
-        &mut self,
-        round: &mut AcceptRound,
-        idle_clients: &mut Option<VecDeque<SocketId>>,
-    ) -> bool {
+    /// `survey` keeps what was found in this round.
+    fn has_room_for_client(&mut self, round: &mut AcceptRound, survey: &mut Option<Survey>) -> bool {
         if self.client_count < self.limits.connections {
             return true;
         }
@@ -166,15 +161,11 @@
             return false;
         }
         let rank = |socket: &Socket<Connection>| is_idle(socket).then_some(());
-        let idle_clients = idle_clients.get_or_insert_with(|| self.sockets.survey(rank).silent);
-        while let Some(id) = idle_clients.pop_front() {
-            let is_silent = self.sockets.peer_activity(id) == Some(PeerActivity::Silent);
-            if is_silent && self.sockets.get(id).is_some_and(is_idle) {
-                self.close(id);
-                return self.client_count < self.limits.connections;
-            }
+        let survey = survey.get_or_insert_with(|| self.sockets.survey(rank));
+        if let Some(id) = self.sockets.take_idle(survey, is_idle) {
+            self.close(id);
         }
-        false
+        self.client_count < self.limits.connections
     }
 
     /// Closes a connection whose client has disconnected or exceeded a timeout. Reports the disconnection if
--- a/crates/quartzdrift-http/src/socket.rs
+++ b/crates/quartzdrift-http/src/socket.rs
@@ -14,6 +14,15 @@
 /// Ratio of a buffer's capacity to its content from which the capacity is reduced.
 const MAX_CAPACITY_RATIO: usize = 4;
 
+/// Calls poll(2) without waiting. Returns the number of descriptors that are ready.
+pub(crate) fn poll_now(polled: &mut [PollFd]) -> rustix::io::Result<usize> {
+    let no_wait = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    poll(polled, Some(&no_wait))
+}
+
 /// One TCP connection with the state `T` that its owner attaches to it.
 #[derive(Debug)]
 pub struct Socket<T> {
@@ -124,12 +133,8 @@
         if self.unsent_bytes() > 0 || socket.set_tcp_notsent_lowat(1).is_err() {
             return self.unsent_bytes() == 0;
         }
-        let no_wait = Timespec {
-            tv_sec: 0,
-            tv_nsec: 0,
-        };
         let mut polled = [PollFd::new(&*self.stream, PollFlags::OUT)];
-        poll(&mut polled, Some(&no_wait)).map_or(true, |ready| ready > 0)
+        poll_now(&mut polled).map_or(true, |ready| ready > 0)
     }
 
     /// Remote address, unless the connection is closed.
--- a/crates/quartzdrift-http/src/sockets.rs
+++ b/crates/quartzdrift-http/src/sockets.rs
@@ -23,7 +23,7 @@
 mod tests;
 
 pub use accept::AcceptRound;
-pub use eviction::{PeerActivity, Survey};
+pub use eviction::Survey;
 
 /// Identifies a socket. Ids are never reused, even if their slot in the slab is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/quartzdrift-http/src/sockets/accept.rs
+++ b/crates/quartzdrift-http/src/sockets/accept.rs
@@ -1,7 +1,7 @@
 //! Accepting connections, one at a time, so that the owner can make room for each before it is accepted.
 use super::Sockets;
-use crate::socket::Socket;
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use crate::socket::{Socket, poll_now};
+use rustix::event::{PollFd, PollFlags};
 use std::io;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -11,11 +11,6 @@
 const MAX_ACCEPTS_PER_ITERATION: usize = 64;
 /// Pause after an error or a limit that prevents all listeners from accepting.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
-/// Timeout of poll(2) that does not wait.
-pub(super) const NO_WAIT: Timespec = Timespec {
-    tv_sec: 0,
-    tv_nsec: 0,
-};
 
 /// A round of accepting in one iteration of the loop, see [`Sockets::begin_accepting`].
 #[derive(Debug, Default)]
@@ -69,7 +64,7 @@
         while let Some((listener, _)) = self.listeners.get(round.listener) {
             let mut polled = [PollFd::new(&**listener, PollFlags::IN)];
             // Without an answer of the system a connection is taken to wait.
-            if poll(&mut polled, Some(&NO_WAIT)).map_or(true, |ready| ready > 0) {
+            if poll_now(&mut polled).map_or(true, |ready| ready > 0) {
                 return true;
             }
             round.listener += 1;
--- a/crates/quartzdrift-http/src/sockets/eviction.rs
+++ b/crates/quartzdrift-http/src/sockets/eviction.rs
@@ -1,13 +1,12 @@
 //! Which connections may be closed to make room for others.
-use super::accept::NO_WAIT;
 use super::{SocketId, Sockets};
-use crate::socket::Socket;
-use rustix::event::{PollFd, PollFlags, poll};
+use crate::socket::{Socket, poll_now};
+use rustix::event::{PollFd, PollFlags};
 use std::collections::VecDeque;
 
 /// What the system knows of a peer, without a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PeerActivity {
+pub(super) enum PeerActivity {
     /// The peer has sent nothing that was not read.
     Silent,
     /// There is unread input, or the system does not tell.
@@ -25,6 +24,11 @@
     pub silent: VecDeque<SocketId>,
 }
 
+/// Asks poll(2) for unread input and for the end of the peer's.
+fn input_poll<T>(socket: &Socket<T>) -> PollFd<'_> {
+    PollFd::new(&*socket.stream, PollFlags::IN | PollFlags::RDHUP)
+}
+
 /// Interprets the result of poll(2). Input and the peer's end are told apart although the input is unread.
 fn activity(ready: PollFlags) -> PeerActivity {
     if ready.intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR) {
@@ -47,12 +51,11 @@
             rank.cmp(other_rank)
                 .then(socket.last_received.cmp(&other.last_received))
         });
-        let poll_flags = PollFlags::IN | PollFlags::RDHUP;
         let mut polled: Vec<PollFd> = candidates
             .iter()
-            .map(|(_, _, socket)| PollFd::new(&*socket.stream, poll_flags))
+            .map(|(_, _, socket)| input_poll(socket))
             .collect();
-        if poll(&mut polled, Some(&NO_WAIT)).is_err() {
+        if poll_now(&mut polled).is_err() {
             return Survey::default();
         }
         let mut survey = Survey::default();
@@ -66,11 +69,18 @@
         survey
     }
 
+    /// Takes the first of a survey's silent connections that is still silent and idle, and returns it.
+    pub fn take_idle(&self, survey: &mut Survey, is_idle: impl Fn(&Socket<T>) -> bool) -> Option<SocketId> {
+        let is_still_idle = |id: SocketId| {
+            self.get(id).is_some_and(&is_idle) && self.peer_activity(id) == Some(PeerActivity::Silent)
+        };
+        std::iter::from_fn(|| survey.silent.pop_front()).find(|id| is_still_idle(*id))
+    }
+
     /// Returns what the system knows of a socket's peer; `None` if the socket is closed.
-    pub fn peer_activity(&self, id: SocketId) -> Option<PeerActivity> {
-        let socket = self.get(id)?;
-        let mut polled = [PollFd::new(&*socket.stream, PollFlags::IN | PollFlags::RDHUP)];
-        let is_polled = poll(&mut polled, Some(&NO_WAIT)).is_ok();
+    pub(super) fn peer_activity(&self, id: SocketId) -> Option<PeerActivity> {
+        let mut polled = [input_poll(self.get(id)?)];
+        let is_polled = poll_now(&mut polled).is_ok();
         Some(if is_polled {
             activity(polled[0].revents())
         } else {
--- a/crates/quartzdrift-http/src/sockets/tests.rs
+++ b/crates/quartzdrift-http/src/sockets/tests.rs
@@ -1,3 +1,4 @@
+use super::eviction::PeerActivity;
 use super::*;
 use calloop::EventLoop;
 
--- a/crates/quartzdrift-lab/tests/reused_address.rs
+++ b/crates/quartzdrift-lab/tests/reused_address.rs
@@ -1,6 +1,4 @@
 //! Workers that start at the address of another one, on sockets.
-#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
-
 use quartzdrift_lab::cluster_harness::{
     ClusterHarness, REQUEST_ID, SECOND_REQUEST_ID, SUCCEEDED, check_status, endpoint_event, endpoint_json,
     request_fields, send_request,
@@ -30,7 +28,7 @@
     }
 }
 
-/// A scheduler with the workers `a` of group 1 and `c` of group 2, and a keyed request that has run at `a`.
+/// A keyed request at the only worker, of group 1, of a scheduler, and a fake worker whose address the test lists.
 struct RunningRequest {
     cluster: ClusterHarness,
     frontend: Frontend,
--- a/crates/quartzdrift-lab/tests/slow_start.rs
+++ b/crates/quartzdrift-lab/tests/slow_start.rs
@@ -1,6 +1,4 @@
 //! Slow start on sockets: how many requests a scheduler process sends to a worker that has just started.
-#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
-
 use quartzdrift_lab::cluster_harness::{
     ClusterHarness, SUCCEEDED, endpoint_json, request_fields, send_request,
 };
@@ -11,7 +9,7 @@
 
 const LAB: &str = env!("CARGO_BIN_EXE_quartzdrift-lab");
 /// The text of the configuration that the rule of slow start is added to: a worker begins with a fifth of its
-/// capacity, and has all of it after a time that the tests choose.
+/// capacity, and has all of it after [`SLOW_START`].
 const DRAIN_GRACE: &str = "\"drain-grace-ns\":2000000000";
 const SLOW_START: Duration = Duration::from_secs(4);
 /// Number of warm workers before a start.
--- a/crates/quartzdrift-scheduler/src/scheduler/addresses.rs
+++ b/crates/quartzdrift-scheduler/src/scheduler/addresses.rs
@@ -23,7 +23,7 @@
         if self.is_replaced(process, endpoint.state) {
             return EndpointRecord { state: EndpointState::Gone, ..endpoint };
         }
-        if endpoint.state == EndpointState::Draining && self.owns(worker, address) {
+        if endpoint.state == EndpointState::Draining && self.addresses.owns(worker, address) {
             // The entry need not repeat the start time of the process that it takes out of service.
             return endpoint;
         }
@@ -47,11 +47,6 @@
         self.workers[worker].endpoint.address
     }
 
-    /// Whether a worker was the last one that was listed at an address.
-    fn owns(&self, worker: usize, address: SocketAddr) -> bool {
-        self.addresses.owners.get(&address).is_some_and(|owner| owner.worker == worker)
-    }
-
     /// Whether another worker has replaced the process. A draining process is never a new one.
     fn is_replaced(&self, process: Process, state: EndpointState) -> bool {
         self.addresses.replaced.get(&process.worker).is_some_and(|replaced| {
--- a/crates/quartzdrift-scheduler/src/state/addresses.rs
+++ b/crates/quartzdrift-scheduler/src/state/addresses.rs
@@ -22,12 +22,15 @@
 }
 
 impl Addresses {
+    /// Whether a worker was the last one that was listed at an address.
+    pub(crate) fn owns(&self, worker: usize, address: SocketAddr) -> bool {
+        self.owners.get(&address).is_some_and(|owner| owner.worker == worker)
+    }
+
     /// Forgets a worker that is no longer listed.
     pub(crate) fn remove(&mut self, worker: usize, address: Option<SocketAddr>) {
         self.replaced.remove(&worker);
-        if let Some(address) = address
-            && self.owners.get(&address).is_some_and(|owner| owner.worker == worker)
-        {
+        if let Some(address) = address.filter(|address| self.owns(worker, *address)) {
             self.owners.remove(&address);
         }
     }
--- a/crates/quartzdrift-scheduler/tests/addresses.rs
+++ b/crates/quartzdrift-scheduler/tests/addresses.rs
@@ -1,14 +1,15 @@
 //! Property of requests with idempotency keys: whatever the order in which workers are listed, at whatever
 //! addresses and in whatever cells, no request runs in two cells.
-#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod random;
 
 use quartzdrift_scheduler::interface::{
     Action, ActionLimits, CacheResult, DeduplicationScope, Endpoint, EndpointListKind, EndpointState, Event,
     Idempotency, Outcome, Request, RequestClass, RequestId, Settings,
 };
 use quartzdrift_scheduler::scheduler::Scheduler;
+use random::SplitMix64;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 const SEEDS: u64 = 300;
@@ -16,19 +17,6 @@
 const ADDRESSES: u64 = 5;
 const CELLS: u64 = 3;
 
-/// The xorshift64 pseudo-random number generator.
-struct Random(u64);
-
-impl Random {
-    /// Returns a number from 0 up to, but not including, `bound`.
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % bound
-    }
-}
-
 /// An entry of the list, which may be out of date.
 #[derive(Clone, Copy, PartialEq)]
 struct Listing {
@@ -49,7 +37,7 @@
 
 /// One scheduler, and what is true of the workers.
 struct Simulation {
-    random: Random,
+    random: SplitMix64,
     scheduler: Scheduler,
     now: Duration,
     /// Entries of the list by worker.
@@ -80,7 +68,7 @@
 impl Simulation {
     fn new(seed: u64) -> Simulation {
         Simulation {
-            random: Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
+            random: SplitMix64(seed),
             scheduler: Scheduler::new(&settings(), seed),
             now: Duration::from_secs(1),
             listed: BTreeMap::new(),
@@ -130,7 +118,7 @@
     fn end_attempt(&mut self) {
         let Some((&request, sent)) = self.requests.first_key_value() else { return };
         let (worker, attempt) = (sent.worker.clone(), sent.attempt - 1);
-        let outcome = if self.random.below(2) == 0 { Outcome::Reset } else { Outcome::Error };
+        let outcome = if self.random.chance(50) { Outcome::Reset } else { Outcome::Error };
         self.handle(Event::AttemptEnded {
             request,
             attempt,
@@ -156,18 +144,13 @@
 
     /// Sends entries of the list.
     fn tell(&mut self, kind: EndpointListKind, entries: &[(String, Listing, EndpointState)]) {
-        let entry = |(worker, listing, state): &'_ (String, Listing, EndpointState)| {
-            let address = SocketAddr::from(([127, 0, 0, 1], 1000 + listing.address as u16));
-            (worker.clone(), Some(address), listing.cell as u32, listing.started, *state)
-        };
-        let entries: Vec<_> = entries.iter().map(entry).collect();
         let entries = entries
             .iter()
-            .map(|(worker, address, cell, started, state)| Endpoint {
+            .map(|(worker, listing, state)| Endpoint {
                 worker,
-                address: *address,
-                cell: *cell,
-                started_at: (*started > 0).then(|| Duration::from_secs(*started)),
+                address: Some(([127, 0, 0, 1], 1000 + listing.address as u16).into()),
+                cell: listing.cell as u32,
+                started_at: Some(Duration::from_secs(listing.started)),
                 state: *state,
                 ..Endpoint::default()
             })
@@ -203,7 +186,7 @@
         for index in (1..entries.len()).rev() {
             entries.swap(index, self.random.below(index as u64 + 1) as usize);
         }
-        let is_whole_list = self.random.below(2) == 0;
+        let is_whole_list = self.random.chance(50);
         if !is_whole_list {
             entries.truncate(2);
         }
@@ -217,7 +200,7 @@
         let Some((worker, listing)) = self.listed.iter().nth(index) else { return };
         let (worker, listing) = (worker.clone(), *listing);
         let is_there = self.at_address.get(&listing.address).is_some_and(|(owner, _)| *owner == worker);
-        if !is_there && self.random.below(2) == 0 {
+        if !is_there && self.random.chance(50) {
             return self.tell(EndpointListKind::Changes, &[(worker, listing, EndpointState::Draining)]);
         }
         self.listed.remove(&worker);
@@ -228,7 +211,7 @@
     /// Returns the number of retries.
     fn run(mut self) -> u64 {
         for _ in 0..STEPS {
-            self.now += Duration::from_millis(1 + self.random.below(40));
+            self.now += self.random.duration_ms(1, 41);
             match self.random.below(10) {
                 0 => self.start_process(),
                 1 => self.repeat_list(),
--- a/crates/quartzdrift-scheduler/tests/decisions.rs
+++ b/crates/quartzdrift-scheduler/tests/decisions.rs
@@ -6,12 +6,15 @@
 //! decision, `RECORD_DECISIONS=1` writes the file again.
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod random;
+
 use quartzdrift_scheduler::interface::{
     Action, ActionLimits, CacheResult, CacheSettings, DeduplicationScope, DiscoveryMode, Endpoint,
     EndpointListKind, EndpointState, Event, Idempotency, Outcome, Prices, PriorityUnit, ReportField,
     ReportSource, Request, RequestClass, RequestId, Rules, Settings, Tenant, UsageForecast,
 };
 use quartzdrift_scheduler::scheduler::Scheduler;
+use random::SplitMix64;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::time::Duration;
@@ -25,34 +28,6 @@
 const CANCELLATION_MARK: Duration = Duration::from_secs(1_000_000);
 const RECORDED_HASHES: &str = include_str!("decisions.txt");
 
-/// The SplitMix64 pseudo-random number generator.
-struct SplitMix64(u64);
-
-impl SplitMix64 {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-
-    /// Returns a number from 0 up to, but not including, `bound`.
-    fn below(&mut self, bound: u64) -> u64 {
-        self.next() % bound
-    }
-
-    /// Returns true with a probability of `percent`.
-    fn chance(&mut self, percent: u64) -> bool {
-        self.below(100) < percent
-    }
-
-    /// Returns a duration from `min` up to, but not including, `max` milliseconds.
-    fn duration_ms(&mut self, min: u64, max: u64) -> Duration {
-        Duration::from_micros(min * 1000 + self.below((max - min) * 1000))
-    }
-}
-
 /// An event that the simulation has scheduled.
 enum ScheduledEvent {
     Arrival,
--- a/crates/quartzdrift-scheduler/tests/slow_start.rs
+++ b/crates/quartzdrift-scheduler/tests/slow_start.rs
@@ -205,7 +205,6 @@
                 fleet.tell(Duration::ZERO, scheduler, EndpointListKind::Full, &warm);
             }
             let restart = Duration::from_secs(20);
-            fleet.workers.iter_mut().for_each(|worker| worker.started_at = Duration::ZERO);
             fleet.send_requests(CALM_INTERVAL, restart, CALM_INTERVAL);
             fleet.ends.clear();
             fleet.workers[0] = Worker { started_at: restart, free_at: restart, ..Worker::default() };
--- a/crates/quartzdrift/src/platform/accept.rs
+++ b/crates/quartzdrift/src/platform/accept.rs
@@ -2,7 +2,7 @@
 use super::client_connection::{Client, RECEIVE_TIMEOUT, is_evictable};
 use super::memory::RequestBytes;
 use super::{Node, Peer};
-use quartzdrift_http::sockets::{AcceptRound, PeerActivity, Socket, SocketId, Survey};
+use quartzdrift_http::sockets::{AcceptRound, Socket, SocketId, Survey};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -43,14 +43,14 @@
     fn accept_while_there_is_room(&mut self, round: &mut AcceptRound, arrived: Instant) {
         let end = Instant::now() + MAX_ACCEPT_TIME;
         let mut survey = None;
-        while self.has_room_for_client(round, &mut survey, end) {
-            let Some(stream) = self.sockets.accept_next(round) else {
-                return;
-            };
+        while Instant::now() < end
+            && self.has_room_for_client(round, &mut survey, end)
+            && let Some(stream) = self.sockets.accept_next(round)
+        {
             self.add_client(stream, arrived);
-            if Instant::now() >= end {
-                return round.mark_out_of_time();
-            }
+        }
+        if Instant::now() >= end {
+            round.mark_out_of_time();
         }
     }
 
@@ -88,9 +88,6 @@
         }
         let survey = survey.get_or_insert_with(|| self.sockets.survey(was_served));
         self.close_disconnected_clients(survey, end);
-        if Instant::now() >= end {
-            round.mark_out_of_time();
-        }
         if self.client_count >= self.budget.clients {
             self.evict_idle_client(survey);
         }
@@ -109,15 +106,13 @@
 
     /// Closes the first idle client that is still idle.
     fn evict_idle_client(&mut self, survey: &mut Survey) {
-        while let Some(id) = survey.silent.pop_front() {
-            let idle = self.sockets.get(id).filter(|socket| is_evictable(socket));
-            let was_served = idle.and_then(was_served);
-            let is_silent = self.sockets.peer_activity(id) == Some(PeerActivity::Silent);
-            if let Some(was_served) = was_served.filter(|_| is_silent) {
-                self.counts.evictions.count_idle(was_served);
-                return self.drop_client(id);
-            }
+        let Some(id) = self.sockets.take_idle(survey, is_evictable) else {
+            return;
+        };
+        if let Some(was_served) = self.sockets.get(id).and_then(was_served) {
+            self.counts.evictions.count_idle(was_served);
         }
+        self.drop_client(id);
     }
 
     /// Reads and processes data from a client that the event loop has not reported yet. Returns whether there
